--- /dev/null
+++ b/src/log_event_p.hpp
@@ -0,0 +1,55 @@
+/// Numbered log events. docs/events.md is the public catalogue; a test
+/// compares it with this one.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace carobcourse {
+
+enum class log_level : std::uint8_t
+{
+    info,
+    warning,
+    error
+};
+
+// X(name, number, level, meaning)
+#define CAROBCOURSE_LOG_EVENTS(X)                                              \
+    X(started, 2001, info, "the entry host listens")                           \
+    X(stop_requested, 2002, info, "a planned stop has begun")                  \
+    X(stopped, 2003, info, "the entry host has stopped")                       \
+    X(drain_deadline, 2004, warning, "the drain deadline cut requests")        \
+    X(config_applied, 2101, info, "a configuration version is in force")       \
+    X(config_stale, 2102, warning, "the configuration is no longer fresh")     \
+    X(config_fresh, 2103, info, "the configuration is fresh again")            \
+    X(store_down, 2201, warning, "the table service does not answer")          \
+    X(store_up, 2202, info, "the table service answers again")                 \
+    X(shard_acquired, 2301, info, "this host owns a shard")                    \
+    X(shard_lost, 2302, warning, "this host no longer owns a shard")           \
+    X(worker_lost, 2303, warning, "the lease of a worker is over")             \
+    X(worker_joined, 2304, info, "a worker has joined a shard")                \
+    X(job_accepted, 2401, info, "a job is durable")                            \
+    X(job_ended, 2402, info, "a job has ended")                                \
+    X(request_unknown, 2501, warning, "the outcome of a request is unknown")   \
+    X(answer_dropped, 2502, warning, "an answer named another attempt")
+
+enum class log_code : std::uint16_t
+{
+#define CAROBCOURSE_ENUM(name, number, level, text) name = (number),
+    CAROBCOURSE_LOG_EVENTS(CAROBCOURSE_ENUM)
+#undef CAROBCOURSE_ENUM
+};
+
+struct log_info
+{
+    const char* name;
+    std::uint16_t number;
+    log_level level;
+    const char* text;
+};
+
+/// Returns the description of `code`. Thread safe.
+const log_info& info(log_code code);
+
+} // namespace carobcourse
--- /dev/null
+++ b/tests/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
