Add the whole path as separate processes

A request and a job go from a caller through an entry host to a stand-in backend server or worker and back. Entry hosts share configuration and jobs through the table service; a shard of workers has one owner with an epoch.

--- a/include/carobcourse/config.hpp
+++ b/include/carobcourse/config.hpp
@@ -5,7 +5,8 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace carobcourse::config {
+namespace carobcourse::config
+{
 
 using namespace std::chrono_literals;
 
@@ -24,7 +25,8 @@
 // Ownership of shards and leases of workers (section 5).
 constexpr auto ownership_lease = 10000ms;
 constexpr auto ownership_renew_period = 3000ms;
-constexpr auto worker_lease = 15000ms;
+/// Longer than a takeover takes, so that tasks outlive their shard's owner.
+constexpr auto worker_lease = 30000ms;
 constexpr auto worker_sync_period = 2000ms;
 constexpr auto worker_sync_timeout = 1500ms;
 /// Margin for clock drift: a fixed part plus one percent of the lease.
@@ -50,9 +52,9 @@
 constexpr auto store_timeout = 2000ms;
 
 // Callers.
-constexpr std::size_t max_body_bytes = 1024 * 1024;
-constexpr std::size_t max_header_bytes = 16 * 1024;
-constexpr std::size_t max_url_bytes = 2 * 1024;
+constexpr std::size_t max_body_bytes = std::size_t{1024} * 1024;
+constexpr std::size_t max_header_bytes = std::size_t{16} * 1024;
+constexpr std::size_t max_url_bytes = std::size_t{2} * 1024;
 constexpr std::size_t max_connections = 4096;
 constexpr auto idle_timeout = 30s;
 
--- a/include/carobcourse/result_code.hpp
+++ b/include/carobcourse/result_code.hpp
@@ -5,7 +5,8 @@
 #include <cstdint>
 #include <string>
 
-namespace carobcourse {
+namespace carobcourse
+{
 
 /// What a result says about whether the work ran.
 enum class ran : std::uint8_t
@@ -32,8 +33,7 @@
     X(request_ring_full, 1101, 503, not_run, "the entry host is overloaded")   \
     X(team_queue_full, 1102, 429, not_run, "the queue of the team is full")    \
     X(stopping, 1103, 503, not_run, "the entry host is stopping")              \
-    X(deadline_unreachable, 1104, 504, not_run,                                \
-      "the deadline can not be met")                                           \
+    X(deadline_unreachable, 1104, 504, not_run, "the deadline can not be met") \
     X(no_backend_server, 1105, 503, not_run,                                   \
       "no backend server serves this service")                                 \
     X(backend_unreachable, 1106, 502, not_run,                                 \
--- a/include/carobcourse/types.hpp
+++ b/include/carobcourse/types.hpp
@@ -6,7 +6,8 @@
 #include <string>
 #include <tuple>
 
-namespace carobcourse {
+namespace carobcourse
+{
 
 /// Clock of the decision core. Time is only ever passed in; the shell maps
 /// its monotonic clock to it.
@@ -27,8 +28,7 @@
 {
     if (deadline <= now)
         return 0;
-    return std::chrono::duration_cast<std::chrono::milliseconds>(deadline -
-                                                                 now)
+    return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now)
         .count();
 }
 
--- /dev/null
+++ b/src/config_service_p.hpp
@@ -0,0 +1,94 @@
+/// Keeps the configuration up to date and carries out operators' changes.
+#pragma once
+
+#include <carobcourse/types.hpp>
+#include <deque>
+#include <optional>
+#include <string>
+
+#include "configuration_p.hpp"
+#include "core_context_p.hpp"
+
+namespace carobcourse
+{
+
+/// Reads the configuration from the table service, states whether it is
+/// fresh, and writes changes. Not thread safe.
+class config_service
+{
+public:
+    explicit config_service(core_context& context);
+
+    const configuration& current() const
+    {
+        return current_;
+    }
+
+    /// True while the configuration is confirmed as current.
+    bool is_fresh(time_point now) const;
+
+    /// Checks that keyed work may be accepted now.
+    tl::expected<void, error> check_usable(time_point now) const;
+
+    void on_tick(time_point now);
+    void on_store_result(time_point now, const store_result& result);
+
+    /// Handles calls on teams, keys and data centres. Returns false for
+    /// other paths.
+    bool on_call(time_point now, const api_call& call);
+
+private:
+    enum class load_step : std::uint8_t
+    {
+        idle,
+        reading_head,
+        scanning_entries,
+        scanning_log
+    };
+
+    /// An operator's change on its way to the table.
+    struct pending_change
+    {
+        call_id call = 0;
+        config_change change;
+        std::string answer; ///< JSON body once accepted.
+        bool reading_back = false;
+    };
+
+    void read_head(time_point now);
+    void on_head(time_point now, const store_result& result);
+    void on_entries(time_point now, const store_result& result);
+    void on_log(time_point now, const store_result& result);
+    void scan_log(std::uint64_t after);
+    void poll_failed(time_point now);
+    void caught_up(time_point now);
+
+    bool check_operator(const api_call& call);
+    void list_entries(const api_call& call, entry_kind kind);
+    void put_team(const api_call& call, const std::string& team);
+    void give_key(const api_call& call);
+    void withdraw_key(const api_call& call, const std::string& id);
+    void put_data_centre(const api_call& call, const std::string& name);
+    void enqueue(const api_call& call, entry_kind kind, const std::string& name,
+                 std::optional<std::string> value, std::string answer);
+    void send_next_change();
+    void on_commit(const store_result& result);
+    void on_read_back(const store_result& result);
+    void finish_change(const error* why);
+
+    core_context& context_;
+    configuration current_;
+    load_step step_ = load_step::idle;
+    op_id poll_op_;
+    time_point poll_started_;
+    time_point next_poll_;
+    std::optional<time_point> fresh_until_;
+    std::uint64_t head_version_ = 0;
+    std::uint64_t head_row_version_ = 0;
+    bool was_fresh_ = false;
+
+    std::deque<pending_change> changes_;
+    std::optional<op_id> change_op_;
+};
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/core_context_p.hpp
@@ -0,0 +1,74 @@
+/// What every part of the core shares: identity of the host, metrics, random
+/// numbers and the list of effects being built.
+#pragma once
+
+#include <carobcourse/config.hpp>
+#include <carobcourse/result_code.hpp>
+#include <carobcourse/types.hpp>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "event_p.hpp"
+#include "keyring_p.hpp"
+#include "metrics_p.hpp"
+
+namespace carobcourse
+{
+
+/// Identity of this process, fixed at its start.
+struct host_identity
+{
+    std::string host;
+    std::string data_centre;
+    std::string incarnation;  ///< Unique to this process.
+    std::string peer_address; ///< Where other entry hosts reach it.
+    std::string operator_key;
+    duration drain_deadline = std::chrono::seconds(30);
+};
+
+/// Shared by the parts of one entry host. Used by the core thread only.
+class core_context
+{
+public:
+    core_context(host_identity identity, std::uint64_t seed,
+                 entropy_source& entropy)
+        : identity(std::move(identity)), random(seed), entropy(entropy)
+    {
+    }
+
+    const host_identity identity;
+    std::mt19937_64 random;
+    entropy_source& entropy;
+    metrics counters;
+    effects out;
+
+    op_id next_op(component owner)
+    {
+        return {owner, ++sequence_};
+    }
+
+    void log(log_code code, std::string detail)
+    {
+        out.emplace_back(log_record{code, std::move(detail)});
+    }
+
+    /// Answers a call with a JSON body.
+    void reply(call_id call, int http_status, std::string json_body)
+    {
+        out.emplace_back(api_reply{call, http_status, "application/json",
+                                   std::move(json_body)});
+    }
+
+    /// Answers a call with a numbered error and counts the refusal.
+    void refuse(call_id call, const error& why);
+
+private:
+    std::uint64_t sequence_ = 0;
+};
+
+/// JSON body of an error answer.
+std::string error_body(const error& why);
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/entry_host.cpp
@@ -0,0 +1,159 @@
+#include "entry_host_p.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace carobcourse
+{
+
+entry_host::entry_host(host_identity identity, std::uint64_t seed,
+                       entropy_source& entropy)
+    : context_(std::move(identity), seed, entropy), config_(context_),
+      requests_(context_, config_), scheduler_(context_, config_)
+{
+}
+
+effects entry_host::handle(time_point now, const event& what)
+{
+    context_.out.clear();
+    std::visit([&](const auto& each) { on_event(now, each); }, what);
+    return std::exchange(context_.out, {});
+}
+
+void entry_host::on_event(time_point now, const timer_tick&)
+{
+    if (!host_list_in_flight_ && now >= next_host_list_)
+    {
+        next_host_list_ = now + config::host_list_poll_period;
+        host_list_in_flight_ = true;
+        context_.out.emplace_back(list_hosts{});
+    }
+    config_.on_tick(now);
+    scheduler_.on_tick(now);
+    requests_.on_tick(now);
+    check_drained(now);
+}
+
+void entry_host::on_event(time_point now, const api_call& call)
+{
+    if (call.path == "/healthz" || call.path == "/readyz")
+    {
+        answer_health(now, call);
+        return;
+    }
+    if (call.path == "/metrics")
+    {
+        context_.out.emplace_back(api_reply{call.id, 200,
+                                            "text/plain; version=0.0.4",
+                                            context_.counters.render()});
+        return;
+    }
+    if (stopping_ && now >= refuse_from_)
+    {
+        context_.refuse(call.id, {result_code::stopping, ""});
+        return;
+    }
+    if (requests_.on_call(now, call) || scheduler_.on_call(now, call) ||
+        config_.on_call(now, call))
+        return;
+    context_.refuse(call.id, {result_code::not_found, call.path});
+}
+
+void entry_host::answer_health(time_point now, const api_call& call)
+{
+    const bool ready =
+        !stopping_ && hosts_known_ && config_.current().is_loaded();
+    const bool healthy = call.path == "/healthz" || ready;
+    context_.reply(
+        call.id, healthy ? 200 : 503,
+        nlohmann::json{{"host", context_.identity.host},
+                       {"data_centre", context_.identity.data_centre},
+                       {"ready", ready},
+                       {"stopping", stopping_},
+                       {"config_version", config_.current().version()},
+                       {"config_fresh", config_.is_fresh(now)}}
+            .dump());
+}
+
+void entry_host::on_event(time_point, const call_abandoned& call)
+{
+    requests_.on_call_abandoned(call);
+}
+
+void entry_host::on_event(time_point now, const store_result& result)
+{
+    switch (result.op.owner)
+    {
+    case component::config:
+        config_.on_store_result(now, result);
+        break;
+    case component::requests:
+        requests_.on_store_result(now, result);
+        break;
+    default:
+        scheduler_.on_store_result(now, result);
+        break;
+    }
+    check_drained(now);
+}
+
+void entry_host::on_event(time_point now, const host_list_result& result)
+{
+    host_list_in_flight_ = false;
+    if (!result.ok)
+    {
+        context_.counters.count("carobcourse_host_list_failures_total");
+        return;
+    }
+    hosts_known_ = true;
+    scheduler_.on_hosts(now, result.hosts);
+    requests_.on_hosts(now, result.hosts);
+}
+
+void entry_host::on_event(time_point now, const worker_result& result)
+{
+    scheduler_.on_worker_result(now, result);
+}
+
+void entry_host::on_event(time_point now, const execute_result& result)
+{
+    requests_.on_execute_result(now, result);
+    check_drained(now);
+}
+
+void entry_host::on_event(time_point, const peer_received&) {}
+
+void entry_host::on_event(time_point, const peer_state&) {}
+
+void entry_host::on_event(time_point now, const stop_request&)
+{
+    if (stopping_)
+        return;
+    constexpr auto grace = std::chrono::seconds(1);
+    stopping_ = true;
+    refuse_from_ = now + grace;
+    drain_until_ = now + context_.identity.drain_deadline;
+    context_.log(log_code::stop_requested, "");
+    scheduler_.stop(now);
+}
+
+bool entry_host::is_drained() const
+{
+    return requests_.is_drained() && scheduler_.is_drained();
+}
+
+void entry_host::check_drained(time_point now)
+{
+    if (!stopping_ || stopped_ || now < refuse_from_)
+        return;
+    const bool drained = is_drained();
+    if (!drained && now < drain_until_)
+        return;
+    if (!drained)
+        context_.log(log_code::drain_deadline, "");
+    stopped_ = true;
+    context_.out.emplace_back(stop_complete{});
+}
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/entry_host_p.hpp
@@ -0,0 +1,61 @@
+/// The decision core of one entry host: events in, effects out.
+#pragma once
+
+#include <carobcourse/types.hpp>
+
+#include "config_service_p.hpp"
+#include "core_context_p.hpp"
+#include "event_p.hpp"
+#include "request_service_p.hpp"
+#include "shard_scheduler_p.hpp"
+
+namespace carobcourse
+{
+
+/// Composes the parts of the core. Deterministic: the same identity, seed,
+/// entropy and events give the same effects. Not thread safe.
+class entry_host
+{
+public:
+    entry_host(host_identity identity, std::uint64_t seed,
+               entropy_source& entropy);
+
+    /// Takes one event and returns the effects, in order. `now` must not be
+    /// before that of the event before.
+    effects handle(time_point now, const event& what);
+
+    const metrics& counters() const
+    {
+        return context_.counters;
+    }
+
+private:
+    void on_event(time_point now, const timer_tick&);
+    void on_event(time_point now, const api_call& call);
+    void on_event(time_point now, const call_abandoned& call);
+    void on_event(time_point now, const store_result& result);
+    void on_event(time_point now, const host_list_result& result);
+    void on_event(time_point now, const worker_result& result);
+    void on_event(time_point now, const execute_result& result);
+    void on_event(time_point now, const peer_received& message);
+    void on_event(time_point now, const peer_state& state);
+    void on_event(time_point now, const stop_request&);
+
+    void answer_health(time_point now, const api_call& call);
+    bool is_drained() const;
+    void check_drained(time_point now);
+
+    core_context context_;
+    config_service config_;
+    request_service requests_;
+    shard_scheduler scheduler_;
+    time_point next_host_list_;
+    bool host_list_in_flight_ = false;
+    bool hosts_known_ = false;
+    bool stopping_ = false;
+    bool stopped_ = false;
+    time_point refuse_from_;
+    time_point drain_until_;
+};
+
+} // namespace carobcourse
--- a/src/log_event.cpp
+++ b/src/log_event.cpp
@@ -1,6 +1,7 @@
 #include "log_event_p.hpp"
 
-namespace carobcourse {
+namespace carobcourse
+{
 
 const log_info& info(log_code code)
 {
--- a/src/log_event_p.hpp
+++ b/src/log_event_p.hpp
@@ -5,7 +5,8 @@
 #include <cstdint>
 #include <string>
 
-namespace carobcourse {
+namespace carobcourse
+{
 
 enum class log_level : std::uint8_t
 {
--- /dev/null
+++ b/src/ownership.cpp
@@ -0,0 +1,161 @@
+#include "ownership_p.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace carobcourse
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr char shard_table[] = "shard";
+
+} // namespace
+
+duration drift_margin(duration lease)
+{
+    return config::drift_margin_fixed + lease / config::drift_margin_divisor;
+}
+
+ownership::ownership(core_context& context, std::string shard)
+    : context_(context), shard_(std::move(shard))
+{
+}
+
+bool ownership::is_owner(time_point now) const
+{
+    return lease_until_ && now < acts_until();
+}
+
+time_point ownership::acts_until() const
+{
+    if (!lease_until_)
+        return time_point{};
+    return *lease_until_ - drift_margin(config::ownership_lease);
+}
+
+void ownership::on_tick(time_point now)
+{
+    if (lease_until_ && now >= acts_until())
+    {
+        lease_until_.reset();
+        context_.log(log_code::shard_lost,
+                     fmt::format("{} epoch {}", shard_, epoch_));
+    }
+    if (op_ || now < next_action_ || released_)
+        return;
+    next_action_ = now + config::ownership_renew_period;
+    if (is_owner(now))
+        take(now, row_version_, epoch_);
+    else
+        read(now);
+}
+
+void ownership::read(time_point)
+{
+    op_ = context_.next_op(component::ownership);
+    writing_ = false;
+    context_.out.emplace_back(store_read{*op_, shard_table, shard_});
+}
+
+bool ownership::on_store_result(time_point now, const store_result& result)
+{
+    if (!op_ || !(result.op == *op_))
+        return false;
+    op_.reset();
+    if (writing_)
+        on_taken(now, result);
+    else if (result.status == store_status::ok)
+        on_read(now, result);
+    return true;
+}
+
+void ownership::on_read(time_point now, const store_result& result)
+{
+    if (released_)
+        return;
+    if (result.rows.empty())
+    {
+        take(now, 0, 1);
+        return;
+    }
+    const auto& row = result.rows.front();
+    const auto value = json::parse(row.value, nullptr, false);
+    if (!value.is_object())
+        return;
+    owner_ = value.value("owner", std::string());
+    seen_epoch_ = value.value("epoch", std::uint64_t{0});
+    if (row.version != watched_version_)
+    {
+        watched_version_ = row.version;
+        watched_since_ = now;
+    }
+    const bool own = value.value("incarnation", std::string()) ==
+                     context_.identity.incarnation;
+    const bool free = owner_.empty();
+    const auto lease =
+        config::ownership_lease + drift_margin(config::ownership_lease);
+    if (own || free || now - watched_since_ >= lease)
+        take(now, row.version, seen_epoch_ + 1);
+}
+
+void ownership::take(time_point now, std::uint64_t expect_version,
+                     std::uint64_t next_epoch)
+{
+    op_ = context_.next_op(component::ownership);
+    writing_ = true;
+    wanted_epoch_ = next_epoch;
+    sent_at_ = now;
+    store_commit commit;
+    commit.op = *op_;
+    const json value{{"owner", context_.identity.host},
+                     {"incarnation", context_.identity.incarnation},
+                     {"epoch", next_epoch}};
+    commit.writes = {{shard_table, shard_, expect_version, value.dump()}};
+    context_.out.emplace_back(std::move(commit));
+}
+
+void ownership::on_taken(time_point now, const store_result& result)
+{
+    if (released_)
+        return;
+    if (result.status != store_status::ok)
+    {
+        // A lost reply leaves the row version unknown; it is read again.
+        next_action_ = now + config::heartbeat_period;
+        if (result.status == store_status::conflict ||
+            result.status == store_status::unknown)
+            read(now);
+        return;
+    }
+    const bool renewed = is_owner(now) && epoch_ == wanted_epoch_;
+    row_version_ = result.versions.empty() ? 0 : result.versions.front();
+    epoch_ = wanted_epoch_;
+    owner_ = context_.identity.host;
+    lease_until_ = sent_at_ + config::ownership_lease;
+    if (!renewed)
+        context_.log(log_code::shard_acquired,
+                     fmt::format("{} epoch {}", shard_, epoch_));
+}
+
+void ownership::release(time_point now)
+{
+    if (released_)
+        return;
+    released_ = true;
+    if (is_owner(now))
+    {
+        store_commit commit;
+        commit.op = context_.next_op(component::ownership);
+        const json value{{"owner", ""}, {"incarnation", ""}, {"epoch", epoch_}};
+        commit.writes = {{shard_table, shard_, row_version_, value.dump()}};
+        context_.out.emplace_back(std::move(commit));
+    }
+    lease_until_.reset();
+}
+
+} // namespace carobcourse
--- a/src/result_code.cpp
+++ b/src/result_code.cpp
@@ -2,9 +2,11 @@
 #include <carobcourse/result_code.hpp>
 #include <fmt/format.h>
 
-namespace carobcourse {
+namespace carobcourse
+{
 
-namespace {
+namespace
+{
 
 constexpr result_info infos[] = {
 #define CAROBCOURSE_INFO(name, number, http, ran_value, text)                  \
--- /dev/null
+++ b/src/shell_serve.cpp
@@ -0,0 +1,191 @@
+#include "shell_serve_p.hpp"
+
+#include <array>
+#include <carobcourse/config.hpp>
+#include <csignal>
+#include <cstring>
+#include <fmt/format.h>
+#include <memory>
+#include <openssl/rand.h>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include "bounded_ring_p.hpp"
+#include "entry_host_p.hpp"
+#include "shell_http_server_p.hpp"
+#include "shell_log_p.hpp"
+#include "shell_platform_p.hpp"
+
+namespace carobcourse
+{
+
+namespace
+{
+
+constexpr std::size_t incarnation_bytes = 8;
+
+class system_entropy final : public entropy_source
+{
+public:
+    std::string hex(std::size_t bytes) override
+    {
+        std::string out;
+        for (std::size_t i = 0; i < bytes; ++i)
+        {
+            unsigned char byte = 0;
+            if (RAND_bytes(&byte, 1) != 1)
+                throw std::runtime_error("no random bytes from the system");
+            out += fmt::format("{:02x}", byte);
+        }
+        return out;
+    }
+};
+
+/// Wakes the process for SIGTERM and SIGINT. All other threads must be
+/// started after it, so that they inherit the blocked signals.
+class stop_signals
+{
+public:
+    stop_signals()
+    {
+        sigemptyset(&set_);
+        sigaddset(&set_, SIGTERM);
+        sigaddset(&set_, SIGINT);
+        pthread_sigmask(SIG_BLOCK, &set_, nullptr);
+    }
+
+    /// True when a stop was asked for since the last call.
+    bool take() const
+    {
+        const timespec none{0, 0};
+        return sigtimedwait(&set_, nullptr, &none) > 0;
+    }
+
+private:
+    sigset_t set_{};
+};
+
+class serve_process
+{
+public:
+    explicit serve_process(const settings& settings)
+        : ring_(config::event_ring_capacity),
+          sink_([this](event what) { ring_.push_promised(std::move(what)); }),
+          table_(settings.table_url, sink_), hosts_(settings.hosts_url, sink_),
+          workers_(sink_), executors_(sink_)
+    {
+        const auto address = parse_address(settings.listen);
+        http_server_options options;
+        options.address = address->first;
+        options.port = address->second;
+        server_ = std::make_unique<http_server>(
+            options,
+            [this](api_call call) { return ring_.try_push(std::move(call)); });
+        host_identity identity;
+        identity.host = settings.host;
+        identity.data_centre = settings.data_centre;
+        identity.incarnation = entropy_.hex(incarnation_bytes);
+        identity.operator_key = settings.operator_key;
+        identity.drain_deadline =
+            std::chrono::milliseconds(settings.drain_deadline_ms);
+        const auto seed =
+            std::stoull(entropy_.hex(sizeof(std::uint64_t)), nullptr, 16);
+        core_ =
+            std::make_unique<entry_host>(std::move(identity), seed, entropy_);
+        write_log(
+            {log_code::started, fmt::format("{} in {} http={}:{}",
+                                            settings.host, settings.data_centre,
+                                            address->first, server_->port())});
+    }
+
+    void run()
+    {
+        auto next_tick = clock_.now();
+        while (!stopped_)
+        {
+            const auto wait = std::max(duration(0), next_tick - clock_.now());
+            for (auto& what : ring_.pop_all(wait))
+                handle(what);
+            if (clock_.now() < next_tick)
+                continue;
+            next_tick = clock_.now() + config::tick_period;
+            if (signals_.take())
+                handle(stop_request{});
+            handle(timer_tick{});
+        }
+        write_log({log_code::stopped, ""});
+        // Answers that were given to the server are still being written.
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+
+private:
+    void handle(const event& what)
+    {
+        for (const auto& each : core_->handle(clock_.now(), what))
+            std::visit([this](const auto& e) { carry_out(e); }, each);
+    }
+
+    void carry_out(const api_reply& reply)
+    {
+        server_->reply(reply);
+    }
+    void carry_out(const store_commit& operation)
+    {
+        table_.commit(operation);
+    }
+    void carry_out(const store_read& operation)
+    {
+        table_.read(operation);
+    }
+    void carry_out(const store_scan& operation)
+    {
+        table_.scan(operation);
+    }
+    void carry_out(const list_hosts&)
+    {
+        hosts_.list();
+    }
+    void carry_out(const worker_sync& message)
+    {
+        workers_.sync(message);
+    }
+    void carry_out(const execute_request& request)
+    {
+        executors_.execute(request);
+    }
+    void carry_out(const set_peers&) {}
+    void carry_out(const peer_send&) {}
+    void carry_out(const log_record& record)
+    {
+        write_log(record);
+    }
+    void carry_out(const stop_complete&)
+    {
+        stopped_ = true;
+    }
+
+    stop_signals signals_; // First: blocks the signals for all threads.
+    system_entropy entropy_;
+    steady_clock_adapter clock_;
+    bounded_ring<event> ring_;
+    event_sink sink_;
+    std::unique_ptr<entry_host> core_;
+    http_table_service table_;
+    http_host_list hosts_;
+    http_worker_link workers_;
+    http_executor_link executors_;
+    std::unique_ptr<http_server> server_;
+    bool stopped_ = false;
+};
+
+} // namespace
+
+int run_entry_host(const settings& settings)
+{
+    serve_process process(settings);
+    process.run();
+    return 0;
+}
+
+} // namespace carobcourse
