--- /dev/null
+++ b/src/job_tables_p.hpp
@@ -0,0 +1,24 @@
+/// Names of the job tables and of their keys.
+#pragma once
+
+#include <string>
+
+namespace carobcourse::job_tables
+{
+
+constexpr char jobs[] = "jobs";       // <shard>/<job>
+constexpr char homes[] = "job_home";  // <job>
+constexpr char inbox[] = "job_inbox"; // <shard>/<job> or <shard>/<job>!cancel
+constexpr char cancel_suffix[] = "!cancel";
+
+inline std::string shard_of(const std::string& data_centre)
+{
+    return data_centre + ".0";
+}
+
+inline std::string job_key(const std::string& shard, const std::string& job)
+{
+    return shard + "/" + job;
+}
+
+} // namespace carobcourse::job_tables
--- /dev/null
+++ b/src/shard_calls.cpp
@@ -0,0 +1,290 @@
+// Calls of submitters on jobs.
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "job_tables_p.hpp"
+#include "shard_scheduler_p.hpp"
+
+namespace carobcourse
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+bool ends_with(const std::string& text, const std::string& suffix)
+{
+    return text.size() >= suffix.size() &&
+           text.compare(text.size() - suffix.size(), suffix.size(), suffix) ==
+               0;
+}
+
+} // namespace
+
+bool shard_scheduler::on_call(time_point now, const api_call& call)
+{
+    const std::string prefix = "/v1/jobs";
+    if (call.path.compare(0, prefix.size(), prefix) != 0)
+        return false;
+    if (const auto usable = config_.check_usable(now); !usable)
+    {
+        context_.refuse(call.id, usable.error());
+        return true;
+    }
+    const auto team = config_.current().authenticate(call.key);
+    if (!team)
+    {
+        context_.refuse(call.id, team.error());
+        return true;
+    }
+    if (call.path == prefix)
+    {
+        if (call.method == "POST")
+            submit(now, call, *team);
+        else
+            context_.refuse(call.id, {result_code::method_not_allowed, ""});
+        return true;
+    }
+    auto job = call.path.substr(prefix.size() + 1);
+    const bool cancels = ends_with(job, "/cancel");
+    if (cancels)
+        job.resize(job.size() - std::string("/cancel").size());
+    if (call.method == (cancels ? "POST" : "GET"))
+        find_job(call, *team, job, cancels);
+    else
+        context_.refuse(call.id, {result_code::method_not_allowed, ""});
+    return true;
+}
+
+std::string shard_scheduler::home_for(const job_spec& spec) const
+{
+    if (!spec.data_centre.empty())
+        return job_tables::shard_of(spec.data_centre);
+    const auto& own = context_.identity.data_centre;
+    if (!config_.current().is_data_centre_out(own))
+        return job_tables::shard_of(own);
+    for (const auto& other : data_centres_)
+    {
+        if (!config_.current().is_data_centre_out(other))
+            return job_tables::shard_of(other);
+    }
+    return job_tables::shard_of(own);
+}
+
+void shard_scheduler::submit(time_point, const api_call& call,
+                             const std::string& team)
+{
+    auto spec = parse_job_spec(call.body, team);
+    if (!spec)
+    {
+        context_.refuse(call.id, spec.error());
+        return;
+    }
+    if (!config_.current().find_team(team))
+    {
+        context_.refuse(call.id, {result_code::not_found, "team " + team});
+        return;
+    }
+    if (!spec->data_centre.empty() && !data_centres_.empty() &&
+        data_centres_.count(spec->data_centre) == 0)
+    {
+        context_.refuse(call.id, {result_code::not_found,
+                                  "data centre " + spec->data_centre});
+        return;
+    }
+    if (spec->id.empty())
+        spec->id = "j-" + context_.entropy.hex(8);
+    job_record job;
+    job.spec = *spec;
+    job.tasks.resize(spec->tasks);
+    pending_call pending;
+    pending.call = call.id;
+    pending.job = spec->id;
+    pending.team = team;
+    pending.shard = home_for(*spec);
+    pending.write_id = context_.entropy.hex(16);
+    const auto text = to_json_text(job);
+    store_commit commit;
+    commit.op = context_.next_op(component::jobs);
+    commit.writes = {
+        {job_tables::homes, spec->id, 0,
+         json{{"shard", pending.shard}, {"write_id", pending.write_id}}.dump()},
+        {job_tables::jobs, job_tables::job_key(pending.shard, spec->id), 0,
+         text},
+        {job_tables::inbox, job_tables::job_key(pending.shard, spec->id),
+         std::nullopt, text}};
+    calls_.emplace(commit.op, std::move(pending));
+    context_.out.emplace_back(std::move(commit));
+}
+
+void shard_scheduler::on_submitted(pending_call pending,
+                                   const store_result& result)
+{
+    switch (result.status)
+    {
+    case store_status::ok:
+        context_.log(log_code::job_accepted, pending.job);
+        context_.reply(pending.call, 202,
+                       json{{"job", pending.job},
+                            {"home", pending.shard},
+                            {"state", "accepted"}}
+                           .dump());
+        if (pending.shard == ownership_.shard())
+            next_inbox_ = time_point{};
+        return;
+    case store_status::conflict:
+        context_.refuse(pending.call, {result_code::job_exists, pending.job});
+        return;
+    case store_status::not_sent:
+    case store_status::unavailable:
+        context_.refuse(pending.call, {result_code::store_unavailable, ""});
+        return;
+    case store_status::unknown:
+    {
+        pending.at = pending_call::step::submit_read_back;
+        const auto op = context_.next_op(component::jobs);
+        context_.out.emplace_back(
+            store_read{op, job_tables::homes, pending.job});
+        calls_.emplace(op, std::move(pending));
+        return;
+    }
+    }
+}
+
+void shard_scheduler::on_submit_read_back(const pending_call& pending,
+                                          const store_result& result)
+{
+    if (result.status == store_status::ok && !result.rows.empty())
+    {
+        const auto home =
+            json::parse(result.rows.front().value, nullptr, false);
+        store_result settled;
+        settled.status =
+            home.is_object() && home.value("write_id", "") == pending.write_id
+                ? store_status::ok
+                : store_status::conflict;
+        on_submitted(pending, settled);
+        return;
+    }
+    // An absent row may still be written by a commit that is on its way.
+    context_.refuse(pending.call,
+                    {result_code::store_write_unknown, "job " + pending.job});
+}
+
+void shard_scheduler::find_job(const api_call& call, const std::string& team,
+                               const std::string& job, bool cancels)
+{
+    const auto found = jobs_.find(job);
+    if (active_ && found != jobs_.end())
+    {
+        if (found->second.spec.team != team)
+        {
+            context_.refuse(call.id, {result_code::not_found, "job " + job});
+            return;
+        }
+        if (!cancels)
+        {
+            context_.reply(call.id, 200,
+                           status_json(found->second, ownership_.shard()));
+            return;
+        }
+    }
+    pending_call pending;
+    pending.at = pending_call::step::find_home;
+    pending.call = call.id;
+    pending.job = job;
+    pending.team = team;
+    pending.cancels = cancels;
+    const auto op = context_.next_op(component::jobs);
+    context_.out.emplace_back(store_read{op, job_tables::homes, job});
+    calls_.emplace(op, std::move(pending));
+}
+
+void shard_scheduler::on_home(pending_call pending, const store_result& result)
+{
+    if (result.status != store_status::ok)
+    {
+        context_.refuse(pending.call, {result_code::store_unavailable, ""});
+        return;
+    }
+    const auto home =
+        result.rows.empty()
+            ? json()
+            : json::parse(result.rows.front().value, nullptr, false);
+    if (!home.is_object() || !home.contains("shard"))
+    {
+        context_.refuse(pending.call,
+                        {result_code::not_found, "job " + pending.job});
+        return;
+    }
+    pending.shard = home["shard"].get<std::string>();
+    pending.at = pending_call::step::read_job;
+    const auto op = context_.next_op(component::jobs);
+    context_.out.emplace_back(store_read{
+        op, job_tables::jobs, job_tables::job_key(pending.shard, pending.job)});
+    calls_.emplace(op, std::move(pending));
+}
+
+void shard_scheduler::on_job_row(const pending_call& pending,
+                                 const store_result& result)
+{
+    if (result.status != store_status::ok)
+    {
+        context_.refuse(pending.call, {result_code::store_unavailable, ""});
+        return;
+    }
+    const auto job =
+        result.rows.empty()
+            ? tl::make_unexpected(error{result_code::not_found, ""})
+            : job_record_from_json(result.rows.front().value);
+    if (!job || job->spec.team != pending.team)
+    {
+        context_.refuse(pending.call,
+                        {result_code::not_found, "job " + pending.job});
+        return;
+    }
+    if (!pending.cancels)
+    {
+        context_.reply(pending.call, 200, status_json(*job, pending.shard));
+        return;
+    }
+    if (job->is_finished())
+    {
+        context_.refuse(pending.call,
+                        {result_code::job_finished, job->state()});
+        return;
+    }
+    auto next = pending;
+    next.at = pending_call::step::cancel;
+    store_commit commit;
+    commit.op = context_.next_op(component::jobs);
+    commit.writes = {
+        {job_tables::inbox,
+         job_tables::job_key(pending.shard,
+                             pending.job + job_tables::cancel_suffix),
+         std::nullopt, json{{"cancel", pending.job}}.dump()}};
+    calls_.emplace(commit.op, std::move(next));
+    context_.out.emplace_back(std::move(commit));
+}
+
+void shard_scheduler::on_cancel_written(const pending_call& pending,
+                                        const store_result& result)
+{
+    if (result.status == store_status::ok)
+    {
+        context_.reply(
+            pending.call, 202,
+            json{{"job", pending.job}, {"state", "cancelling"}}.dump());
+        if (pending.shard == ownership_.shard())
+            next_inbox_ = time_point{};
+        return;
+    }
+    const bool unknown = result.status == store_status::unknown;
+    context_.refuse(pending.call, {unknown ? result_code::store_write_unknown
+                                           : result_code::store_unavailable,
+                                   "cancel is idempotent; send it again"});
+}
+
+} // namespace carobcourse
