--- a/include/carobcourse/result_code.hpp
+++ b/include/carobcourse/result_code.hpp
@@ -25,6 +25,7 @@
     X(body_too_large, 1004, 413, not_run, "the body is over the limit")        \
     X(invalid_document, 1005, 422, not_run, "the document is invalid")         \
     X(invalid_settings, 1006, 500, not_run, "the settings are invalid")        \
+    X(invalid_trace, 1007, 500, not_applicable, "the trace is malformed")      \
     X(key_missing, 1010, 401, not_run, "no key came with the request")         \
     X(key_unknown, 1011, 403, not_run, "the key is unknown or withdrawn")      \
     X(key_wrong_team, 1012, 403, not_run, "the key belongs to another team")   \
--- a/src/cli_local.cpp
+++ b/src/cli_local.cpp
@@ -2,9 +2,11 @@
 
 #include <CLI/CLI.hpp>
 #include <exception>
+#include <fmt/format.h>
 #include <fstream>
 #include <iostream>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <sstream>
 #include <vector>
 
@@ -12,6 +14,7 @@
 #include "settings_p.hpp"
 #include "shell_log_p.hpp"
 #include "shell_serve_p.hpp"
+#include "trace_p.hpp"
 
 namespace carobcourse
 {
@@ -42,7 +45,7 @@
         std::cerr << to_string(each) << "\n";
 }
 
-int serve(const std::string& path)
+int serve(const std::string& path, const std::string& trace_path)
 {
     std::string text;
     if (!read_file(path, text))
@@ -56,7 +59,7 @@
     init_log(parsed->log_level);
     try
     {
-        return run_entry_host(*parsed);
+        return run_entry_host(*parsed, trace_path);
     }
     catch (const std::exception& e)
     {
@@ -97,6 +100,39 @@
     return good ? exit_code::ok : exit_code::usage;
 }
 
+int replay(const std::string& path, bool json_output)
+{
+    std::ifstream in(path);
+    if (!in)
+    {
+        std::string ignored;
+        read_file(path, ignored);
+        return exit_code::usage;
+    }
+    const auto report = replay_trace(in);
+    if (!report)
+    {
+        std::cerr << to_string(problem{path, 0, "trace", report.error().code,
+                                       report.error().detail})
+                  << "\n";
+        return exit_code::usage;
+    }
+    if (json_output)
+        std::cout << nlohmann::json{{"events", report->events},
+                                    {"effects", report->effects},
+                                    {"expectations", report->expectations},
+                                    {"unmet", report->unmet}}
+                  << "\n";
+    else
+        std::cout << fmt::format(
+            "{} events, {} effects, {} expectations, {} unmet\n",
+            report->events, report->effects, report->expectations,
+            report->unmet.size());
+    for (const auto& each : report->unmet)
+        std::cerr << path << ": " << each << "\n";
+    return report->unmet.empty() ? exit_code::ok : exit_code::refused;
+}
+
 } // namespace
 
 void add_local_commands(CLI::App& app, int& exit_status)
@@ -106,8 +142,12 @@
     auto path = std::make_shared<std::string>();
     serve_command->add_option("--settings", *path, "TOML settings file")
         ->required();
-    serve_command->callback([path, &exit_status]
-                            { exit_status = serve(*path); });
+    auto trace = std::make_shared<std::string>();
+    serve_command->add_option(
+        "--record", *trace,
+        "Record a trace for replay; it holds callers' keys and bodies");
+    serve_command->callback([path, trace, &exit_status]
+                            { exit_status = serve(*path, *trace); });
 
     auto* check_command = app.add_subcommand(
         "check", "Check settings and team documents without starting");
@@ -115,6 +155,15 @@
     check_command->add_option("files", *paths, "Files to check")->required();
     check_command->callback([paths, &exit_status]
                             { exit_status = check(*paths); });
+
+    auto* replay_command = app.add_subcommand(
+        "replay", "Replay a trace against the outcomes that it states");
+    auto trace_path = std::make_shared<std::string>();
+    auto as_json = std::make_shared<bool>(false);
+    replay_command->add_option("trace", *trace_path, "Trace file")->required();
+    replay_command->add_flag("--json", *as_json, "Print the result as JSON");
+    replay_command->callback([trace_path, as_json, &exit_status]
+                             { exit_status = replay(*trace_path, *as_json); });
 }
 
 } // namespace carobcourse
--- a/src/cli_p.hpp
+++ b/src/cli_p.hpp
@@ -25,7 +25,7 @@
 /// by the command that runs.
 void add_client_commands(CLI::App& app, int& exit_status);
 
-/// Adds `serve` and `check`.
+/// Adds `serve`, `check` and `replay`.
 void add_local_commands(CLI::App& app, int& exit_status);
 
 } // namespace carobcourse
--- a/src/shell_serve.cpp
+++ b/src/shell_serve.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstring>
 #include <fmt/format.h>
+#include <fstream>
 #include <memory>
 #include <openssl/rand.h>
 #include <stdexcept>
@@ -16,6 +17,7 @@
 #include "shell_http_server_p.hpp"
 #include "shell_log_p.hpp"
 #include "shell_platform_p.hpp"
+#include "trace_p.hpp"
 
 namespace carobcourse
 {
@@ -24,11 +26,27 @@
 {
 
 constexpr std::size_t incarnation_bytes = 8;
+constexpr char traced_operator_key[] = "operator";
 
 class system_entropy final : public entropy_source
 {
 public:
+    /// Records what is drawn from now on.
+    void record_to(trace_writer& trace)
+    {
+        trace_ = &trace;
+    }
+
     std::string hex(std::size_t bytes) override
+    {
+        auto out = draw(bytes);
+        if (trace_)
+            trace_->write_entropy(out);
+        return out;
+    }
+
+private:
+    static std::string draw(std::size_t bytes)
     {
         std::string out;
         for (std::size_t i = 0; i < bytes; ++i)
@@ -40,6 +58,8 @@
         }
         return out;
     }
+
+    trace_writer* trace_ = nullptr;
 };
 
 /// Wakes the process for SIGTERM and SIGINT. All other threads must be
@@ -69,7 +89,7 @@
 class serve_process
 {
 public:
-    explicit serve_process(const settings& settings)
+    serve_process(const settings& settings, const std::string& trace_path)
         : ring_(config::event_ring_capacity),
           sink_([this](event what) { ring_.push_promised(std::move(what)); }),
           table_(settings.table_url, sink_), hosts_(settings.hosts_url, sink_),
@@ -91,6 +111,8 @@
             std::chrono::milliseconds(settings.drain_deadline_ms);
         const auto seed =
             std::stoull(entropy_.hex(sizeof(std::uint64_t)), nullptr, 16);
+        if (!trace_path.empty())
+            start_trace(trace_path, identity, seed);
         core_ =
             std::make_unique<entry_host>(std::move(identity), seed, entropy_);
         write_log(
@@ -120,9 +142,37 @@
     }
 
 private:
+    void start_trace(const std::string& path, host_identity identity,
+                     std::uint64_t seed)
+    {
+        trace_file_.open(path);
+        if (!trace_file_)
+            throw std::runtime_error("can not write " + path);
+        trace_ = std::make_unique<trace_writer>(trace_file_);
+        operator_key_ = identity.operator_key;
+        identity.operator_key = traced_operator_key;
+        trace_->write_header(identity, seed);
+        entropy_.record_to(*trace_);
+    }
+
+    /// Writes the event after it was handled, behind the random bytes that
+    /// it drew. The operator key does not go into the trace.
+    void record(time_point now, event what, const effects& out)
+    {
+        if (auto* call = std::get_if<api_call>(&what);
+            call && call->key == operator_key_)
+            call->key = traced_operator_key;
+        trace_->write_event(now, what);
+        trace_->write_replies(out);
+    }
+
     void handle(const event& what)
     {
-        for (const auto& each : core_->handle(clock_.now(), what))
+        const auto now = clock_.now();
+        const auto out = core_->handle(now, what);
+        if (trace_)
+            record(now, what, out);
+        for (const auto& each : out)
             std::visit([this](const auto& e) { carry_out(e); }, each);
     }
 
@@ -165,6 +215,9 @@
         stopped_ = true;
     }
 
+    std::ofstream trace_file_;
+    std::unique_ptr<trace_writer> trace_;
+    std::string operator_key_;
     stop_signals signals_; // First: blocks the signals for all threads.
     system_entropy entropy_;
     steady_clock_adapter clock_;
@@ -181,9 +234,9 @@
 
 } // namespace
 
-int run_entry_host(const settings& settings)
+int run_entry_host(const settings& settings, const std::string& trace_path)
 {
-    serve_process process(settings);
+    serve_process process(settings, trace_path);
     process.run();
     return 0;
 }
--- a/src/shell_serve_p.hpp
+++ b/src/shell_serve_p.hpp
@@ -2,6 +2,8 @@
 /// around it.
 #pragma once
 
+#include <string>
+
 #include "settings_p.hpp"
 
 namespace carobcourse
@@ -9,6 +11,8 @@
 
 /// Runs one entry host until a planned stop is complete. Handles SIGTERM and
 /// SIGINT. Returns the exit code of the process.
-int run_entry_host(const settings& settings);
+/// With `trace_path`, records a trace for `carobcourse replay` there; it
+/// holds what callers sent, their keys included.
+int run_entry_host(const settings& settings, const std::string& trace_path);
 
 } // namespace carobcourse
--- a/tests/process_harness.hpp
+++ b/tests/process_harness.hpp
@@ -213,7 +213,8 @@
     /// Starts an entry host and returns its base URL once it is ready.
     std::string add_entry_host(const std::string& id,
                                const std::string& data_centre,
-                               int drain_seconds = 10)
+                               int drain_seconds = 10,
+                               const std::vector<std::string>& more = {})
     {
         const auto file = directory_.path() + "/" + id + ".toml";
         std::ofstream(file) << fmt::format(
@@ -224,10 +225,10 @@
             "hosts = \"{4}\"\n[cluster]\n"
             "secret = \"test-cluster-secret\"\n",
             id, data_centre, drain_seconds, operator_key, platform_url_);
-        auto process = std::make_unique<child_process>(
-            std::vector<std::string>{binary("carobcourse"), "serve",
-                                     "--settings", file},
-            log(id));
+        std::vector<std::string> arguments{binary("carobcourse"), "serve",
+                                           "--settings", file};
+        arguments.insert(arguments.end(), more.begin(), more.end());
+        auto process = std::make_unique<child_process>(arguments, log(id));
         auto url = fmt::format("http://127.0.0.1:{}",
                                process->wait_for_port("http=127.0.0.1:"));
         processes_[id] = std::move(process);
@@ -260,6 +261,12 @@
         call(url, "POST", "/control/fault", "", body.dump());
     }
 
+    /// Removed with the deployment.
+    const std::string& directory() const
+    {
+        return directory_.path();
+    }
+
     const std::string& platform_url() const
     {
         return platform_url_;
