Measure the cost of processes and the spread of changes

The load tool fills the cell with service tasks and times a configuration change until every entry host has it in force.

--- a/tests/core_harness.hpp
+++ b/tests/core_harness.hpp
@@ -80,6 +80,15 @@
     std::string answer_as;          ///< Answers with this request id instead.
 };
 
+/// One change of the configuration, noted when the table took it.
+struct noted_change
+{
+    time_point at;
+    std::string kind;
+    std::string name;
+    std::string value; ///< Empty when removed.
+};
+
 class fake_cell
 {
 public:
@@ -234,6 +243,12 @@
         queue_.push({when, ++order_, std::move(run)});
     }
 
+    /// Every change of the configuration, in order.
+    const std::vector<noted_change>& config_log() const
+    {
+        return config_log_;
+    }
+
     // --------------------------------------------------------------- calls
 
     /// Makes a call and returns its id; the answer is in `answers`.
@@ -559,6 +574,20 @@
                    value.at("value").get<std::string>()};
     }
 
+    void note_changes(const json& ops)
+    {
+        for (const auto& op : ops)
+        {
+            if (op["table"] != "config_log")
+                continue;
+            const auto change = json::parse(op["value"].get<std::string>());
+            config_log_.push_back({now_, change["kind"], change["name"],
+                                   change["value"].is_null()
+                                       ? std::string()
+                                       : change["value"].get<std::string>()});
+        }
+    }
+
     void carry_out(const std::string& id, const store_commit& operation)
     {
         json ops = json::array();
@@ -575,6 +604,8 @@
             [this, ops, op = operation.op]
             {
                 const auto answer = table_.commit(json{{"ops", ops}});
+                if (answer.status == 200)
+                    note_changes(ops);
                 store_result result;
                 result.op = op;
                 result.status = answer.status == 200 ? store_status::ok
@@ -816,6 +847,7 @@
     std::map<std::string, fake_executor> executors_;
     std::set<std::pair<std::string, std::string>> cuts_;
     standin::table_store table_;
+    std::vector<noted_change> config_log_;
 };
 
 } // namespace carobcourse::test
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -228,6 +228,61 @@
             {"resident_mb", after.resident_mb}};
 }
 
+/// Fills the cell with service tasks that run on.
+json run_fill(const std::string& url, const std::string& key, int tasks)
+{
+    constexpr int tasks_per_job = 100;
+    int accepted = 0;
+    for (int left = tasks; left > 0; left -= tasks_per_job)
+    {
+        const auto answer =
+            call(url, "POST", "/v1/jobs", key,
+                 json{{"kind", "service"},
+                      {"tasks", std::min(left, tasks_per_job)},
+                      {"resources", {{"cpu_millis", 10}, {"memory_mb", 1}}}}
+                     .dump());
+        accepted += answer.is_object() && answer.contains("job") ? 1 : 0;
+    }
+    return {{"jobs_accepted", accepted}};
+}
+
+/// Time from the acceptance of a change to in force at every entry host.
+json run_spread(const std::vector<std::string>& urls, const std::string& key,
+                int count)
+{
+    latencies accepted;
+    latencies spread;
+    for (int i = 0; i < count; ++i)
+    {
+        const auto begin = steady::now();
+        const auto answer =
+            call(urls.front(), "PUT", "/v1/datacentres/load-spread", key,
+                 json{{"state", i % 2 == 0 ? "out" : "in"}}.dump());
+        if (!answer.is_object() || !answer.contains("version"))
+            continue;
+        const auto taken = steady::now();
+        accepted.add(1000 * seconds_between(begin, taken));
+        const auto version = answer["version"].get<std::uint64_t>();
+        for (const auto& url : urls)
+        {
+            for (;;)
+            {
+                const auto health = call(url, "GET", "/healthz", "", "");
+                if (health.is_object() &&
+                    health["config_version"].get<std::uint64_t>() >= version)
+                    break;
+                if (seconds_between(taken, steady::now()) > 60)
+                    break;
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            }
+        }
+        spread.add(1000 * seconds_between(taken, steady::now()));
+    }
+    return {{"entry_hosts", urls.size()},
+            {"accepted", accepted.summary()},
+            {"in_force_everywhere", spread.summary()}};
+}
+
 } // namespace
 
 } // namespace carobcourse::load
@@ -286,6 +341,24 @@
                       << "\n";
         });
 
+    auto* fill = app.add_subcommand("fill", "Submit service tasks that run on");
+    fill->add_option("--url", url)->required();
+    fill->add_option("--key", key)->required();
+    fill->add_option("--count", count, "Tasks");
+    fill->callback(
+        [&] { std::cout << load::run_fill(url, key, count).dump(2) << "\n"; });
+
+    std::vector<std::string> urls;
+    auto* spread = app.add_subcommand(
+        "spread", "Time until a configuration change is in force everywhere");
+    spread->add_option("--url", urls, "Every entry host, once each")
+        ->required();
+    spread->add_option("--key", key, "Operator key")->required();
+    spread->add_option("--count", count);
+    spread->callback(
+        [&]
+        { std::cout << load::run_spread(urls, key, count).dump(2) << "\n"; });
+
     auto* cost = app.add_subcommand("cost", "Cost of a running process");
     cost->add_option("--pid", pid)->required();
     cost->add_option("--seconds", seconds);
