--- a/src/job.cpp
+++ b/src/job.cpp
@@ -124,6 +124,15 @@
                        { return has_ended(task.state); });
 }
 
+bool job_record::is_idle() const
+{
+    return std::all_of(tasks.begin(), tasks.end(),
+                       [](const task_record& task) {
+                           return has_ended(task.state) ||
+                                  task.state == task_state::waiting;
+                       });
+}
+
 const char* job_record::state() const
 {
     const auto any = [this](task_state state)
@@ -141,7 +150,7 @@
     if (any(task_state::running) || any(task_state::starting) ||
         any(task_state::stopping))
         return "running";
-    return "waiting";
+    return parked ? "parked" : "waiting";
 }
 
 tl::expected<job_spec, error> parse_job_spec(const std::string& body,
@@ -192,7 +201,9 @@
     return json{{"spec", spec_to_json(job.spec)},
                 {"tasks", tasks_to_json(job)},
                 {"cancel", job.cancel_requested},
-                {"reason", job.reason}}
+                {"reason", job.reason},
+                {"parked", job.parked},
+                {"failed_workers", job.failed_workers}}
         .dump();
 }
 
@@ -207,6 +218,9 @@
             job.tasks.push_back(task_from_json(task));
         job.cancel_requested = value.at("cancel").get<bool>();
         job.reason = value.at("reason").get<std::string>();
+        job.parked = value.value("parked", false);
+        job.failed_workers =
+            value.value("failed_workers", std::set<std::string>{});
         return job;
     }
     catch (const json::exception& e)
--- a/src/job_p.hpp
+++ b/src/job_p.hpp
@@ -4,6 +4,8 @@
 #include <carobcourse/result_code.hpp>
 #include <carobcourse/types.hpp>
 #include <cstdint>
+#include <optional>
+#include <set>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -48,6 +50,21 @@
     std::string checkpoint;
     std::string detail;
     std::uint32_t failures = 0;
+    bool reported = false; ///< By a worker, in this epoch; not stored.
+};
+
+/// Why an owner starts no task of a job yet.
+enum class job_hold : std::uint8_t
+{
+    none,
+    /// The commit that takes the job on is not durable. Without it a later
+    /// owner could not tell that tasks may have been started.
+    taking_on,
+    /// Loaded at takeover: an attempt that no row names may be running until
+    /// every worker has answered or its lease is over.
+    recovering,
+    /// The commit that moves the job to another data centre is in flight.
+    moving
 };
 
 struct job_record
@@ -57,9 +74,17 @@
     bool cancel_requested = false;
     std::string reason; ///< Why it waits, or why it ended.
     time_point accepted_at;
+    std::set<std::string> failed_workers; ///< On which a task failed.
+    bool parked = false;                  ///< Starts no task any more.
+
+    // Not stored: what the owner of this epoch knows.
+    std::optional<std::uint64_t> row_version; ///< Empty when not known.
+    job_hold hold = job_hold::none;
 
     bool is_finished() const;
-    /// "waiting", "running", "succeeded", "failed" or "cancelled".
+    /// True when no task is starting, running or stopping.
+    bool is_idle() const;
+    /// "waiting", "running", "succeeded", "failed", "cancelled" or "parked".
     const char* state() const;
 };
 
--- a/src/log_event_p.hpp
+++ b/src/log_event_p.hpp
@@ -30,8 +30,15 @@
     X(shard_lost, 2302, warning, "this host no longer owns a shard")           \
     X(worker_lost, 2303, warning, "the lease of a worker is over")             \
     X(worker_joined, 2304, info, "a worker has joined a shard")                \
+    X(worker_quarantined, 2305, warning, "a worker fails what it starts")      \
+    X(owner_contradicted, 2306, warning,                                       \
+      "the table or a worker contradicts the owner of a shard")                \
+    X(shard_recovered, 2307, info,                                             \
+      "every worker of a shard has answered or its lease is over")             \
     X(job_accepted, 2401, info, "a job is durable")                            \
     X(job_ended, 2402, info, "a job has ended")                                \
+    X(job_parked, 2403, warning, "a job fails on several workers")             \
+    X(job_moved, 2404, info, "a job has moved to another data centre")         \
     X(request_unknown, 2501, warning, "the outcome of a request is unknown")   \
     X(answer_dropped, 2502, warning, "an answer named another attempt")
 
--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -16,6 +16,11 @@
 
 } // namespace
 
+std::string fence_value(std::uint64_t epoch, const std::string& write_id)
+{
+    return json{{"epoch", epoch}, {"write_id", write_id}}.dump();
+}
+
 duration drift_margin(duration lease)
 {
     return config::drift_margin_fixed + lease / config::drift_margin_divisor;
@@ -46,6 +51,8 @@
         context_.log(log_code::shard_lost,
                      fmt::format("{} epoch {}", shard_, epoch_));
     }
+    if (release_wanted_ && !released_)
+        release(now);
     if (op_ || now < next_action_ || released_)
         return;
     next_action_ = now + config::ownership_renew_period;
@@ -64,6 +71,11 @@
 
 bool ownership::on_store_result(time_point now, const store_result& result)
 {
+    if (release_op_ && result.op == *release_op_)
+    {
+        release_op_.reset();
+        return true;
+    }
     if (!op_ || !(result.op == *op_))
         return false;
     op_.reset();
@@ -116,6 +128,11 @@
                      {"incarnation", context_.identity.incarnation},
                      {"epoch", next_epoch}};
     commit.writes = {{shard_table, shard_, expect_version, value.dump()}};
+    // The fence row changes hands with the epoch and with each write of the
+    // owner's jobs, but not with renewals, so these never conflict.
+    if (!is_owner(now))
+        commit.writes.push_back(
+            {fence_table, shard_, std::nullopt, fence_value(next_epoch, "")});
     context_.out.emplace_back(std::move(commit));
 }
 
@@ -137,6 +154,8 @@
     epoch_ = wanted_epoch_;
     owner_ = context_.identity.host;
     lease_until_ = sent_at_ + config::ownership_lease;
+    if (result.versions.size() > 1)
+        fence_version_ = result.versions[1];
     if (!renewed)
         context_.log(log_code::shard_acquired,
                      fmt::format("{} epoch {}", shard_, epoch_));
@@ -144,13 +163,17 @@
 
 void ownership::release(time_point now)
 {
-    if (released_)
+    release_wanted_ = true;
+    // A renewal in flight may change the row's version; the release waits
+    // for its result.
+    if (released_ || op_)
         return;
     released_ = true;
     if (is_owner(now))
     {
         store_commit commit;
         commit.op = context_.next_op(component::ownership);
+        release_op_ = commit.op;
         const json value{{"owner", ""}, {"incarnation", ""}, {"epoch", epoch_}};
         commit.writes = {{shard_table, shard_, row_version_, value.dump()}};
         context_.out.emplace_back(std::move(commit));
@@ -158,4 +181,14 @@
     lease_until_.reset();
 }
 
+void ownership::step_down(time_point now)
+{
+    if (!lease_until_)
+        return;
+    lease_until_.reset();
+    next_action_ = now;
+    context_.log(log_code::shard_lost,
+                 fmt::format("{} epoch {} stepped down", shard_, epoch_));
+}
+
 } // namespace carobcourse
--- a/src/ownership_p.hpp
+++ b/src/ownership_p.hpp
@@ -12,6 +12,13 @@
 namespace carobcourse
 {
 
+/// Table of fence rows, one a shard. Each commit of an owner's jobs rewrites
+/// the row by compare-and-set, so that a former owner's commit fails.
+constexpr char fence_table[] = "shard_fence";
+
+/// JSON text of a fence row. `write_id` names the commit that wrote it.
+std::string fence_value(std::uint64_t epoch, const std::string& write_id);
+
 /// Margin for clock drift over a lease of this length.
 duration drift_margin(duration lease);
 
@@ -40,12 +47,26 @@
     {
         return shard_;
     }
+    /// Version of the fence row as this epoch's takeover wrote it; valid
+    /// while owner.
+    std::uint64_t fence_version() const
+    {
+        return fence_version_;
+    }
 
     void on_tick(time_point now);
     /// Returns true when the result was for this aggregate.
     bool on_store_result(time_point now, const store_result& result);
     /// Gives the shard up at a planned stop; nothing is renewed after it.
     void release(time_point now);
+    /// True when the release is complete, or none was asked for.
+    bool is_released() const
+    {
+        return !release_wanted_ || (released_ && !release_op_);
+    }
+    /// Stops acting as owner at once, because another host has a higher
+    /// epoch or the table contradicts this owner. The row is read again.
+    void step_down(time_point now);
 
 private:
     void read(time_point now);
@@ -59,6 +80,7 @@
     std::string owner_;
     std::uint64_t epoch_ = 0;
     std::uint64_t row_version_ = 0;
+    std::uint64_t fence_version_ = 0;
     std::uint64_t seen_epoch_ = 0;
     /// When the row was first seen at its version; a lease that is not
     /// renewed for its length after that is over, without comparing clocks.
@@ -70,7 +92,9 @@
     std::uint64_t wanted_epoch_ = 0;
     time_point sent_at_;
     time_point next_action_;
+    bool release_wanted_ = false;
     bool released_ = false;
+    std::optional<op_id> release_op_;
 };
 
 } // namespace carobcourse
--- a/src/shard_calls.cpp
+++ b/src/shard_calls.cpp
@@ -1,4 +1,5 @@
 // Calls of submitters on jobs.
+#include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -60,17 +61,30 @@
 
 std::string shard_scheduler::home_for(const job_spec& spec) const
 {
-    if (!spec.data_centre.empty())
-        return job_tables::shard_of(spec.data_centre);
     const auto& own = context_.identity.data_centre;
-    if (!config_.current().is_data_centre_out(own))
-        return job_tables::shard_of(own);
-    for (const auto& other : data_centres_)
+    if (data_centres_.empty())
+        return job_tables::shard_of(
+            spec.data_centre.empty() ? own : spec.data_centre);
+    // A job with a wanted home stays out of other data centres; otherwise the
+    // own one is preferred, and one that is out is the last resort.
+    auto candidates = std::vector<std::string>{spec.data_centre};
+    if (spec.data_centre.empty())
     {
-        if (!config_.current().is_data_centre_out(other))
-            return job_tables::shard_of(other);
+        candidates = {own};
+        candidates.insert(candidates.end(), data_centres_.begin(),
+                          data_centres_.end());
     }
-    return job_tables::shard_of(own);
+    std::string best;
+    for (const auto& each : candidates)
+    {
+        if (!could_hold(each, spec.amount))
+            continue;
+        if (!config_.current().is_data_centre_out(each))
+            return job_tables::shard_of(each);
+        if (best.empty())
+            best = job_tables::shard_of(each);
+    }
+    return best;
 }
 
 void shard_scheduler::submit(time_point, const api_call& call,
@@ -94,16 +108,24 @@
                                   "data centre " + spec->data_centre});
         return;
     }
+    pending_call pending;
+    pending.shard = home_for(*spec);
+    if (!data_centres_.empty() && pending.shard.empty())
+    {
+        context_.refuse(call.id, {result_code::job_unrunnable,
+                                  spec->data_centre.empty()
+                                      ? std::string("no data centre")
+                                      : "data centre " + spec->data_centre});
+        return;
+    }
     if (spec->id.empty())
         spec->id = "j-" + context_.entropy.hex(8);
     job_record job;
     job.spec = *spec;
     job.tasks.resize(spec->tasks);
-    pending_call pending;
     pending.call = call.id;
     pending.job = spec->id;
     pending.team = team;
-    pending.shard = home_for(*spec);
     pending.write_id = context_.entropy.hex(16);
     const auto text = to_json_text(job);
     store_commit commit;
--- a/src/shard_scheduler.cpp
+++ b/src/shard_scheduler.cpp
@@ -19,6 +19,11 @@
 constexpr std::size_t load_batch = 500;
 constexpr std::size_t inbox_batch = 200;
 constexpr std::uint32_t max_task_failures = 3;
+/// So many workers that fail a job's tasks speak against the job.
+constexpr std::size_t max_failed_workers = 5;
+constexpr std::size_t rows_per_move = 4;
+/// A planned stop waits so long for the table to take the last progress.
+constexpr auto stop_flush_bound = std::chrono::seconds(5);
 
 bool ends_with(const std::string& text, const std::string& suffix)
 {
@@ -33,7 +38,7 @@
                                  const config_service& config)
     : context_(context), config_(config),
       ownership_(context, job_tables::shard_of(context.identity.data_centre)),
-      workers_(context)
+      workers_(context), journal_(context)
 {
 }
 
@@ -54,10 +59,15 @@
         on_inbox(now, result);
         return true;
     }
-    if (write_op_ && result.op == *write_op_)
+    if (journal_.is_for(result.op))
     {
-        write_op_.reset();
-        on_jobs_written(result);
+        if (const auto settled = journal_.on_store_result(now, result))
+            on_written(now, *settled);
+        return true;
+    }
+    if (cancelled_homes_.count(result.op))
+    {
+        on_cancelled_home(result);
         return true;
     }
     const auto found = calls_.find(result.op);
@@ -97,11 +107,17 @@
     else if (!owner && active_epoch_ != 0)
         on_lost();
     if (!owner)
+    {
+        finish_stop(now);
         return;
+    }
     for (const auto& news : workers_.on_tick(now))
         apply(news);
     if (active_)
     {
+        journal_.on_tick(now);
+        release_recovered(now);
+        drain(now);
         poll_inbox(now);
         schedule(now);
         write_jobs(now);
@@ -111,29 +127,58 @@
         loading_ = true;
         load_jobs("");
     }
-    workers_.send_due(now, ownership_.acts_until());
+    workers_.send_due(now, ownership_.acts_until(), may_start(now));
+    finish_stop(now);
 }
 
-void shard_scheduler::on_acquired(time_point now)
+bool shard_scheduler::may_start(time_point now) const
+{
+    return !stopping_ && !is_out() && config_.check_usable(now).has_value();
+}
+
+void shard_scheduler::forget()
 {
-    active_epoch_ = ownership_.epoch();
     active_ = false;
     loading_ = false;
+    recovering_ = false;
+    was_out_ = false;
     jobs_.clear();
     waiting_.clear();
     dirty_.clear();
-    workers_.begin_epoch(active_epoch_);
+    unsettled_.clear();
+    writing_.clear();
+    loose_writes_.clear();
+    loose_writing_.clear();
+    early_news_.clear();
+    deleted_inbox_.clear();
+    cancelled_homes_.clear();
+    // What was read in an earlier epoch may be out of date.
+    load_op_.reset();
+    inbox_op_.reset();
+}
+
+void shard_scheduler::on_acquired(time_point now)
+{
+    forget();
+    active_epoch_ = ownership_.epoch();
+    journal_.begin(ownership_.shard(), active_epoch_,
+                   ownership_.fence_version());
+    workers_.begin_epoch(now, active_epoch_);
     workers_.update_hosts(now, hosts_);
 }
 
 void shard_scheduler::on_lost()
 {
+    forget();
     active_epoch_ = 0;
-    active_ = false;
-    loading_ = false;
-    jobs_.clear();
-    waiting_.clear();
-    dirty_.clear();
+    journal_.begin(ownership_.shard(), 0, 0);
+}
+
+void shard_scheduler::step_down(time_point now, const std::string& why)
+{
+    context_.log(log_code::owner_contradicted, why);
+    ownership_.step_down(now);
+    on_lost();
 }
 
 void shard_scheduler::load_jobs(const std::string& after)
@@ -154,7 +199,13 @@
         return;
     }
     for (const auto& row : result.rows)
-        adopt(now, row.value);
+    {
+        if (auto* job = adopt(now, row.value, job_hold::recovering))
+        {
+            job->row_version = row.version;
+            recovering_ = true;
+        }
+    }
     if (result.rows.size() >= load_batch)
     {
         load_jobs(result.rows.back().key);
@@ -162,32 +213,66 @@
     }
     loading_ = false;
     active_ = true;
+    for (const auto& news : std::exchange(early_news_, {}))
+        apply(news);
 }
 
-void shard_scheduler::adopt(time_point now, const std::string& value)
+job_record* shard_scheduler::adopt(time_point now, const std::string& value,
+                                   job_hold hold)
 {
     auto job = job_record_from_json(value);
     if (!job || job->is_finished() || jobs_.count(job->spec.id))
-        return;
+        return nullptr;
     job->accepted_at = now;
-    const auto id = job->spec.id;
-    for (std::uint32_t i = 0; i < job->tasks.size(); ++i)
+    job->hold = hold;
+    for (auto& task : job->tasks)
     {
-        auto& task = job->tasks[i];
-        if (task.state == task_state::waiting)
-            waiting_.insert({id, i});
-        else if (task.state == task_state::starting ||
-                 task.state == task_state::stopping)
-            task.state = task_state::running;
+        if (task.state != task_state::starting &&
+            task.state != task_state::stopping &&
+            task.state != task_state::running)
+            continue;
+        task.state = task_state::running;
+        // The worker may have left the list while the task runs there.
+        workers_.expect(now, task.worker);
+    }
+    return &jobs_.emplace(job->spec.id, std::move(*job)).first->second;
+}
+
+void shard_scheduler::release_recovered(time_point now)
+{
+    if (!recovering_ || !workers_.all_settled(now))
+        return;
+    recovering_ = false;
+    context_.log(log_code::shard_recovered,
+                 fmt::format("{} epoch {}", ownership_.shard(), active_epoch_));
+    for (auto& [id, job] : jobs_)
+    {
+        if (job.hold != job_hold::recovering)
+            continue;
+        job.hold = job_hold::none;
+        for (auto& task : job.tasks)
+        {
+            const bool unknown = task.state == task_state::running ||
+                                 task.state == task_state::stopping;
+            if (!unknown || task.reported)
+                continue;
+            task.state = job.cancel_requested ? task_state::cancelled
+                                              : task_state::waiting;
+            context_.counters.count_retry("attempt_lost");
+            task_changed(id);
+        }
+        enqueue_all(job);
     }
-    jobs_.emplace(id, std::move(*job));
 }
 
+// --------------------------------------------------------------------- inbox
+
 void shard_scheduler::poll_inbox(time_point now)
 {
     if (inbox_op_ || now < next_inbox_)
         return;
     next_inbox_ = now + config::inbox_poll_period;
+    ++inbox_poll_;
     inbox_op_ = context_.next_op(component::jobs);
     context_.out.emplace_back(store_scan{*inbox_op_, job_tables::inbox,
                                          ownership_.shard() + "/", "",
@@ -196,29 +281,84 @@
 
 void shard_scheduler::on_inbox(time_point now, const store_result& result)
 {
-    if (!active_ || result.status != store_status::ok || result.rows.empty())
+    if (!active_ || result.status != store_status::ok)
         return;
-    store_commit commit;
-    commit.op = context_.next_op(component::jobs);
     for (const auto& row : result.rows)
     {
-        commit.writes.push_back({job_tables::inbox, row.key, row.version, {}});
-        if (!ends_with(row.key, job_tables::cancel_suffix))
-        {
-            adopt(now, row.value);
-            continue;
-        }
-        const auto value = json::parse(row.value, nullptr, false);
-        const auto found =
-            value.is_object() ? jobs_.find(value.value("cancel", std::string()))
-                              : jobs_.end();
-        if (found != jobs_.end())
-            cancel_job(found->second);
-    }
-    context_.out.emplace_back(std::move(commit));
+        const auto deleted = deleted_inbox_.find(row.key);
+        if (deleted == deleted_inbox_.end() || deleted->second <= inbox_poll_)
+            take_inbox_row(now, row);
+    }
+    for (auto it = deleted_inbox_.begin(); it != deleted_inbox_.end();)
+        it = it->second <= inbox_poll_ ? deleted_inbox_.erase(it)
+                                       : std::next(it);
+    write_jobs(now);
     schedule(now);
 }
 
+void shard_scheduler::take_inbox_row(time_point now, const row& inbox_row)
+{
+    auto id = inbox_row.key.substr(ownership_.shard().size() + 1);
+    const bool cancels = ends_with(id, job_tables::cancel_suffix);
+    if (cancels)
+        id.resize(id.size() - std::string(job_tables::cancel_suffix).size());
+    else
+        adopt(now, inbox_row.value, job_hold::taking_on);
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+    {
+        if (cancels)
+            find_cancelled(id);
+        else
+            loose_writes_.push_back(
+                {job_tables::inbox, inbox_row.key, std::nullopt, {}});
+        return;
+    }
+    auto& job = found->second;
+    if (cancels && !job.cancel_requested)
+        cancel_job(job);
+    // The row goes in the commit that makes the job or its cancellation
+    // durable; an owner that dies before leaves it to the next one.
+    unsettled_[id].inbox.insert(inbox_row.key);
+    task_changed(id);
+    next_write_ = now;
+}
+
+void shard_scheduler::find_cancelled(const std::string& job)
+{
+    // The job has ended, or it has moved and the caller saw its old home.
+    const bool asked =
+        std::any_of(cancelled_homes_.begin(), cancelled_homes_.end(),
+                    [&](const auto& item) { return item.second == job; });
+    if (asked)
+        return;
+    const auto op = context_.next_op(component::jobs);
+    cancelled_homes_.emplace(op, job);
+    context_.out.emplace_back(store_read{op, job_tables::homes, job});
+}
+
+void shard_scheduler::on_cancelled_home(const store_result& result)
+{
+    const auto id = cancelled_homes_.extract(result.op).mapped();
+    if (!active_ || result.status != store_status::ok || jobs_.count(id))
+        return;
+    const auto key = id + job_tables::cancel_suffix;
+    loose_writes_.push_back({job_tables::inbox,
+                             job_tables::job_key(ownership_.shard(), key),
+                             std::nullopt,
+                             {}});
+    const auto home =
+        result.rows.empty()
+            ? json()
+            : json::parse(result.rows.front().value, nullptr, false);
+    const auto shard =
+        home.is_object() ? home.value("shard", std::string()) : std::string();
+    if (!shard.empty() && shard != ownership_.shard())
+        loose_writes_.push_back({job_tables::inbox,
+                                 job_tables::job_key(shard, key), std::nullopt,
+                                 json{{"cancel", id}}.dump()});
+}
+
 // ---------------------------------------------------------------- scheduling
 
 void shard_scheduler::on_hosts(time_point now,
@@ -234,6 +374,35 @@
     workers_.update_hosts(now, hosts);
 }
 
+void shard_scheduler::enqueue(const job_record& job, std::uint32_t index)
+{
+    if (job.hold == job_hold::none && !job.parked)
+        waiting_.insert({job.spec.id, index});
+}
+
+void shard_scheduler::enqueue_all(const job_record& job)
+{
+    for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
+    {
+        if (job.tasks[i].state == task_state::waiting)
+            enqueue(job, i);
+    }
+}
+
+void shard_scheduler::dequeue(const task_id& task)
+{
+    waiting_.erase(task);
+}
+
+void shard_scheduler::stop_task_of(job_record& job, std::uint32_t index,
+                                   bool checkpoint)
+{
+    auto& task = job.tasks[index];
+    workers_.stop(task.worker, {{job.spec.id, index}, task.attempt},
+                  checkpoint);
+    task.state = task_state::stopping;
+}
+
 void shard_scheduler::cancel_job(job_record& job)
 {
     job.cancel_requested = true;
@@ -242,14 +411,13 @@
         auto& task = job.tasks[i];
         if (task.state == task_state::waiting)
         {
-            waiting_.erase({job.spec.id, i});
+            dequeue({job.spec.id, i});
             task.state = task_state::cancelled;
         }
         else if (task.state == task_state::starting ||
                  task.state == task_state::running)
         {
-            workers_.stop(task.worker, {{job.spec.id, i}, task.attempt}, false);
-            task.state = task_state::stopping;
+            stop_task_of(job, i, false);
         }
     }
     task_changed(job.spec.id);
@@ -262,34 +430,95 @@
         apply(news);
     if (!ownership_.is_owner(now))
         return;
+    if (active_epoch_ != 0 && workers_.highest_epoch_seen() > active_epoch_)
+    {
+        step_down(now, "worker " + result.worker + " has seen a newer epoch");
+        return;
+    }
     schedule(now);
-    workers_.send_due(now, ownership_.acts_until());
+    workers_.send_due(now, ownership_.acts_until(), may_start(now));
+}
+
+bool shard_scheduler::is_present(const job_record& job,
+                                 const attempt_news& news)
+{
+    const auto& task = job.tasks[news.attempt.task.index];
+    switch (task.state)
+    {
+    case task_state::succeeded:
+    case task_state::failed:
+    case task_state::cancelled:
+        return false;
+    default:
+        break;
+    }
+    const auto attempt = news.attempt.attempt;
+    if (attempt == task.attempt && news.worker == task.worker)
+        return true;
+    // The row may lag behind what an earlier owner started. The number alone
+    // does not name an attempt: two owners may have used it on two workers.
+    return job.hold == job_hold::recovering &&
+           (attempt > task.attempt ||
+            (attempt == task.attempt && !task.reported));
+}
+
+void shard_scheduler::disown(const attempt_news& news, bool known_job)
+{
+    if (news.what == attempt_news::kind::running)
+    {
+        context_.counters.count("carobcourse_unknown_attempts_total");
+        workers_.stop(news.worker, news.attempt, false);
+    }
+    else if (news.what == attempt_news::kind::finished && !known_job)
+    {
+        // The row of an unknown job is durable in its final state.
+        workers_.acknowledge(news.worker, news.attempt);
+    }
+    else if (news.what == attempt_news::kind::finished)
+    {
+        const auto& id = news.attempt.task.job;
+        unsettled_[id].acks.push_back({news.worker, news.attempt});
+        task_changed(id);
+    }
 }
 
 void shard_scheduler::apply(const attempt_news& news)
 {
+    if (!active_)
+    {
+        if (active_epoch_ != 0)
+            early_news_.push_back(news);
+        return;
+    }
     const auto found = jobs_.find(news.attempt.task.job);
-    if (found == jobs_.end() ||
-        news.attempt.task.index >= found->second.tasks.size())
+    const bool known = found != jobs_.end() &&
+                       news.attempt.task.index < found->second.tasks.size();
+    if (!known)
+    {
+        disown(news, false);
         return;
+    }
     auto& job = found->second;
     const auto index = news.attempt.task.index;
     auto& task = job.tasks[index];
-    if (news.attempt.attempt < task.attempt)
+    if (!is_present(job, news))
+    {
+        // A later attempt must not use a number again on the same worker.
+        if (task.state == task_state::waiting)
+            task.attempt = std::max(task.attempt, news.attempt.attempt);
+        disown(news, true);
         return;
+    }
     task.attempt = news.attempt.attempt;
+    task.worker = news.worker;
+    task.reported = true;
     switch (news.what)
     {
     case attempt_news::kind::running:
-        task.worker = news.worker;
-        if (task.state == task_state::starting ||
-            task.state == task_state::waiting)
-        {
-            task.state = task_state::running;
-            waiting_.erase(news.attempt.task);
-        }
+        apply_running(job, index, news);
         break;
     case attempt_news::kind::finished:
+        unsettled_[job.spec.id].acks.push_back({news.worker, news.attempt});
         apply_finished(job, index, news);
         break;
     case attempt_news::kind::refused:
@@ -299,7 +528,7 @@
             job.cancel_requested ? task_state::cancelled : task_state::waiting;
         if (!job.cancel_requested)
         {
-            waiting_.insert(news.attempt.task);
+            enqueue(job, index);
             context_.counters.count_retry(news.what == attempt_news::kind::lost
                                               ? "attempt_lost"
                                               : "start_refused");
@@ -309,10 +538,22 @@
     task_changed(job.spec.id);
 }
 
+void shard_scheduler::apply_running(job_record& job, std::uint32_t index,
+                                    const attempt_news& news)
+{
+    auto& task = job.tasks[index];
+    dequeue(news.attempt.task);
+    if (job.cancel_requested || is_out())
+        stop_task_of(job, index, !job.cancel_requested && job.spec.checkpoints);
+    else if (task.state != task_state::stopping)
+        task.state = task_state::running;
+}
+
 void shard_scheduler::apply_finished(job_record& job, std::uint32_t index,
                                      const attempt_news& news)
 {
     auto& task = job.tasks[index];
+    dequeue(news.attempt.task);
     task.detail = news.detail;
     if (!news.checkpoint.empty())
         task.checkpoint = news.checkpoint;
@@ -326,6 +567,7 @@
         task.state = task_state::cancelled;
         return;
     }
+    task.state = task_state::waiting;
     if (news.outcome == task_outcome::failed)
     {
         ++task.failures;
@@ -334,10 +576,23 @@
             task.state = task_state::failed;
             return;
         }
+        count_failure(job, news.worker);
         context_.counters.count_retry("task_failed");
     }
-    task.state = task_state::waiting;
-    waiting_.insert({job.spec.id, index});
+    enqueue(job, index);
+}
+
+void shard_scheduler::count_failure(job_record& job, const std::string& worker)
+{
+    job.failed_workers.insert(worker);
+    if (job.parked || job.failed_workers.size() < max_failed_workers)
+        return;
+    job.parked = true;
+    job.reason = fmt::format("parked: tasks failed on {} different workers",
+                             job.failed_workers.size());
+    context_.log(log_code::job_parked, job.spec.id);
+    for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
+        dequeue({job.spec.id, i});
 }
 
 void shard_scheduler::task_changed(const std::string& job)
@@ -345,54 +600,245 @@
     dirty_.insert(job);
 }
 
+// ---------------------------------------------------------------- durability
+
 void shard_scheduler::write_jobs(time_point now)
 {
-    if (write_op_ || dirty_.empty() || now < next_write_)
+    if (journal_.is_busy() || now < next_write_ ||
+        (dirty_.empty() && loose_writes_.empty()))
         return;
     next_write_ = now + config::job_write_period;
-    store_commit commit;
-    commit.op = context_.next_op(component::jobs);
-    while (!dirty_.empty() && commit.writes.size() < config::job_write_batch)
+    std::vector<row_write> writes;
+    while (!dirty_.empty() && writes.size() < config::job_write_batch)
     {
         const auto id = *dirty_.begin();
         dirty_.erase(dirty_.begin());
         const auto found = jobs_.find(id);
         if (found == jobs_.end())
             continue;
-        commit.writes.push_back({job_tables::jobs,
-                                 job_tables::job_key(ownership_.shard(), id),
-                                 std::nullopt, to_json_text(found->second)});
-        writing_.insert(id);
+        job_write write;
+        write.job = id;
+        write.index = writes.size();
+        if (auto settles = unsettled_.extract(id))
+            write.settles = std::move(settles.mapped());
+        writes.push_back(
+            {job_tables::jobs, job_tables::job_key(ownership_.shard(), id),
+             found->second.row_version, to_json_text(found->second)});
+        for (const auto& key : write.settles.inbox)
+            writes.push_back({job_tables::inbox, key, std::nullopt, {}});
+        writing_.push_back(std::move(write));
     }
-    write_op_ = commit.op;
-    context_.out.emplace_back(std::move(commit));
+    loose_writing_ = std::exchange(loose_writes_, {});
+    writes.insert(writes.end(), loose_writing_.begin(), loose_writing_.end());
+    if (!writes.empty())
+        journal_.commit(std::move(writes));
 }
 
-void shard_scheduler::on_jobs_written(const store_result& result)
+void shard_scheduler::on_written(time_point now,
+                                 const job_journal::settlement& settlement)
 {
     const auto written = std::exchange(writing_, {});
-    for (const auto& id : written)
+    const auto loose = std::exchange(loose_writing_, {});
+    switch (settlement.what)
     {
-        const auto found = jobs_.find(id);
-        if (found == jobs_.end())
-            continue;
-        if (result.status != store_status::ok)
+    case job_journal::outcome::written:
+        for (const auto& write : written)
+            on_durable(write, settlement.versions);
+        for (const auto& write : loose)
+            deleted_inbox_[write.key] = inbox_poll_ + 1;
+        schedule(now);
+        return;
+    case job_journal::outcome::not_written:
+        for (const auto& write : written)
         {
-            dirty_.insert(id);
+            auto& open = unsettled_[write.job];
+            open.inbox.insert(write.settles.inbox.begin(),
+                              write.settles.inbox.end());
+            open.acks.insert(open.acks.end(), write.settles.acks.begin(),
+                             write.settles.acks.end());
+            dirty_.insert(write.job);
+            const auto found = jobs_.find(write.job);
+            if (found != jobs_.end() && !write.moved_to.empty())
+            {
+                found->second.hold = job_hold::none;
+                enqueue_all(found->second);
+            }
         }
-        else if (found->second.is_finished() && dirty_.count(id) == 0)
+        loose_writes_.insert(loose_writes_.end(), loose.begin(), loose.end());
+        next_write_ = now + config::job_write_period;
+        return;
+    case job_journal::outcome::contradicted:
+        step_down(now, "the fence of the shard has moved");
+        return;
+    }
+}
+
+void shard_scheduler::on_durable(const job_write& write,
+                                 const std::vector<std::uint64_t>& versions)
+{
+    const auto found = jobs_.find(write.job);
+    if (found == jobs_.end())
+        return;
+    auto& job = found->second;
+    for (const auto& ack : write.settles.acks)
+        workers_.acknowledge(ack.worker, ack.attempt);
+    for (const auto& key : write.settles.inbox)
+        deleted_inbox_[key] = inbox_poll_ + 1;
+    if (!write.moved_to.empty())
+    {
+        context_.log(log_code::job_moved,
+                     fmt::format("{} to {}", write.job, write.moved_to));
+        dirty_.erase(write.job);
+        unsettled_.erase(write.job); // Left in the inbox and forwarded.
+        jobs_.erase(found);
+        return;
+    }
+    // The version is not known when the commit was confirmed by reading back;
+    // the fence row still guards the next write.
+    job.row_version.reset();
+    if (write.index < versions.size())
+        job.row_version = versions[write.index];
+    // An inbox row that is still there proves that no owner has started a
+    // task of the job before.
+    const auto key = job_tables::job_key(ownership_.shard(), write.job);
+    if (write.settles.inbox.count(key) && job.hold != job_hold::none)
+    {
+        job.hold = job_hold::none;
+        enqueue_all(job);
+    }
+    if (job.is_finished() && dirty_.count(write.job) == 0)
+    {
+        context_.log(log_code::job_ended,
+                     fmt::format("{} {}", write.job, job.state()));
+        jobs_.erase(found);
+    }
+}
+
+// ---------------------------------------------------- a data centre taken out
+
+bool shard_scheduler::is_out() const
+{
+    return config_.current().is_data_centre_out(context_.identity.data_centre);
+}
+
+void shard_scheduler::drain(time_point now)
+{
+    if (!is_out())
+    {
+        was_out_ = false;
+        return;
+    }
+    for (const auto& news : workers_.withdraw_starts())
+        apply(news);
+    if (!was_out_)
+    {
+        was_out_ = true;
+        for (auto& [id, job] : jobs_)
         {
-            context_.log(log_code::job_ended,
-                         fmt::format("{} {}", id, found->second.state()));
-            jobs_.erase(found);
+            for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
+            {
+                if (job.tasks[i].state != task_state::running &&
+                    job.tasks[i].state != task_state::starting)
+                    continue;
+                stop_task_of(job, i, job.spec.checkpoints);
+                task_changed(id);
+            }
         }
     }
+    move_jobs(now);
 }
 
+void shard_scheduler::move_jobs(time_point now)
+{
+    if (journal_.is_busy() || now < next_move_)
+        return;
+    std::vector<row_write> writes;
+    for (auto& [id, job] : jobs_)
+    {
+        if (writes.size() + rows_per_move > config::job_write_batch)
+            break;
+        if (job.hold != job_hold::none || !job.is_idle() || job.is_finished() ||
+            unsettled_.count(id))
+            continue;
+        const auto target = new_home_for(job);
+        if (target.empty())
+            continue;
+        auto moved = job;
+        moved.spec.data_centre.clear();
+        moved.reason.clear();
+        const auto text = to_json_text(moved);
+        job_write write;
+        write.job = id;
+        write.moved_to = target;
+        writes.push_back({job_tables::jobs,
+                          job_tables::job_key(ownership_.shard(), id),
+                          job.row_version,
+                          {}});
+        writes.push_back(
+            {job_tables::jobs, job_tables::job_key(target, id), 0, text});
+        writes.push_back({job_tables::inbox, job_tables::job_key(target, id),
+                          std::nullopt, text});
+        // Only the owner of the home shard moves a job, and the fence row
+        // proves that this is still the owner.
+        writes.push_back({job_tables::homes, id, std::nullopt,
+                          json{{"shard", target}, {"write_id", ""}}.dump()});
+        writing_.push_back(std::move(write));
+        job.hold = job_hold::moving;
+        for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
+            dequeue({id, i});
+    }
+    if (writes.empty())
+    {
+        next_move_ = now + config::job_write_period;
+        return;
+    }
+    journal_.commit(std::move(writes));
+}
+
+bool shard_scheduler::could_hold(const std::string& data_centre,
+                                 const resources& amount) const
+{
+    return std::any_of(hosts_.begin(), hosts_.end(),
+                       [&](const host_entry& host)
+                       {
+                           return host.kind == host_kind::worker &&
+                                  host.data_centre == data_centre &&
+                                  host.state == host_state::live &&
+                                  amount.fits_in(host.capacity);
+                       });
+}
+
+std::string shard_scheduler::new_home_for(const job_record& job)
+{
+    std::vector<std::string> targets;
+    for (const auto& each : data_centres_)
+    {
+        if (each != context_.identity.data_centre &&
+            !config_.current().is_data_centre_out(each) &&
+            could_hold(each, job.spec.amount))
+            targets.push_back(each);
+    }
+    if (targets.empty())
+        return {};
+    return job_tables::shard_of(targets[moves_++ % targets.size()]);
+}
+
+// --------------------------------------------------------------- planned stop
+
 void shard_scheduler::stop(time_point now)
 {
     stopping_ = true;
-    ownership_.release(now);
+    flush_until_ = now + stop_flush_bound;
+    finish_stop(now);
+}
+
+void shard_scheduler::finish_stop(time_point now)
+{
+    if (!stopping_)
+        return;
+    const bool flushed = !journal_.is_busy() && dirty_.empty();
+    if (flushed || now >= flush_until_ || !ownership_.is_owner(now))
+        ownership_.release(now);
 }
 
 } // namespace carobcourse
--- a/src/shard_scheduler_p.hpp
+++ b/src/shard_scheduler_p.hpp
@@ -11,6 +11,7 @@
 
 #include "config_service_p.hpp"
 #include "core_context_p.hpp"
+#include "job_journal_p.hpp"
 #include "job_p.hpp"
 #include "ownership_p.hpp"
 #include "worker_book_p.hpp"
@@ -34,10 +35,11 @@
 
     /// Gives the shard up; no task is started after it.
     void stop(time_point now);
-    /// True when no accepted call waits for its answer.
+    /// True when no accepted call waits for its answer and the shard is
+    /// given up.
     bool is_drained() const
     {
-        return calls_.empty();
+        return calls_.empty() && ownership_.is_released();
     }
 
 private:
@@ -72,27 +74,77 @@
     void on_job_row(const pending_call& pending, const store_result& result);
     void on_cancel_written(const pending_call& pending,
                            const store_result& result);
+    /// Returns a shard for the job, empty when no host could hold a task.
     std::string home_for(const job_spec& spec) const;
 
+    /// A result that the worker keeps until the job's row is durable.
+    struct result_ack
+    {
+        std::string worker;
+        attempt_id attempt;
+    };
+    /// What the next durable row of a job settles.
+    struct unsettled
+    {
+        std::set<std::string> inbox; ///< Keys of inbox rows to delete.
+        std::vector<result_ack> acks;
+    };
+    struct job_write
+    {
+        std::string job;
+        std::size_t index = 0; ///< Of the job's row in the commit.
+        unsettled settles;
+        std::string moved_to; ///< Shard, empty when the job stays.
+    };
+
     // Ownership and recovery.
     void on_acquired(time_point now);
     void on_lost();
+    void forget();
+    void step_down(time_point now, const std::string& why);
+    void release_recovered(time_point now);
+    void finish_stop(time_point now);
+    bool may_start(time_point now) const;
     void load_jobs(const std::string& after);
     void on_jobs(time_point now, const store_result& result);
     void poll_inbox(time_point now);
     void on_inbox(time_point now, const store_result& result);
-    void adopt(time_point now, const std::string& value);
+    job_record* adopt(time_point now, const std::string& value, job_hold hold);
+    void take_inbox_row(time_point now, const row& inbox_row);
+    void find_cancelled(const std::string& job);
+    void on_cancelled_home(const store_result& result);
+
+    // A data centre taken out.
+    bool is_out() const;
+    void drain(time_point now);
+    void stop_task_of(job_record& job, std::uint32_t index, bool checkpoint);
+    void move_jobs(time_point now);
+    std::string new_home_for(const job_record& job);
+    bool could_hold(const std::string& data_centre,
+                    const resources& amount) const;
 
     // Scheduling.
     void schedule(time_point now);
     bool place_task(time_point now, job_record& job, std::uint32_t index);
+    /// Makes a waiting task eligible for placement, unless its job is held.
+    void enqueue(const job_record& job, std::uint32_t index);
+    void dequeue(const task_id& task);
+    void enqueue_all(const job_record& job);
     void cancel_job(job_record& job);
     void apply(const attempt_news& news);
+    /// News of an attempt that is not the present one of its task.
+    void disown(const attempt_news& news, bool known_job);
+    static bool is_present(const job_record& job, const attempt_news& news);
+    void apply_running(job_record& job, std::uint32_t index,
+                       const attempt_news& news);
     void apply_finished(job_record& job, std::uint32_t index,
                         const attempt_news& news);
+    void count_failure(job_record& job, const std::string& worker);
     void task_changed(const std::string& job);
     void write_jobs(time_point now);
-    void on_jobs_written(const store_result& result);
+    void on_written(time_point now, const job_journal::settlement& settlement);
+    void on_durable(const job_write& write,
+                    const std::vector<std::uint64_t>& versions);
 
     core_context& context_;
     const config_service& config_;
@@ -108,12 +160,27 @@
     std::map<std::string, job_record> jobs_;
     std::set<task_id> waiting_;
     std::set<std::string> dirty_;
-    std::set<std::string> writing_;
+    job_journal journal_;
+    std::map<std::string, unsettled> unsettled_; ///< By job.
+    std::vector<job_write> writing_;             ///< In the commit in flight.
+    std::vector<row_write> loose_writes_; ///< Inbox rows of no known job.
+    std::vector<row_write> loose_writing_;
+    /// News that came before the jobs were loaded.
+    std::vector<attempt_news> early_news_;
+    bool recovering_ = false; ///< Some job is on hold for recovery.
+    bool was_out_ = false;
+    std::size_t moves_ = 0;
+    time_point next_move_;
+    time_point flush_until_;
+    /// Inbox rows that were deleted, by the poll from which on they can no
+    /// longer be seen. A scan that was on its way would bring them back.
+    std::map<std::string, std::uint64_t> deleted_inbox_;
+    std::uint64_t inbox_poll_ = 0;
     time_point next_inbox_;
     time_point next_write_;
     std::optional<op_id> load_op_;
     std::optional<op_id> inbox_op_;
-    std::optional<op_id> write_op_;
+    std::map<op_id, std::string> cancelled_homes_; ///< Reads, by job.
     std::map<op_id, pending_call> calls_;
 };
 
--- a/src/worker_book.cpp
+++ b/src/worker_book.cpp
@@ -1,6 +1,7 @@
 #include "worker_book_p.hpp"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <iterator>
 #include <set>
 #include <utility>
@@ -13,6 +14,18 @@
 namespace
 {
 
+// Quarantine of a worker that fails what it starts (design, section 5).
+// Several jobs must fail, so that one broken job condemns no worker.
+constexpr std::uint32_t quarantine_failures = 5;
+constexpr std::size_t quarantine_jobs = 3;
+constexpr auto quarantine_first = std::chrono::seconds(30);
+constexpr auto quarantine_longest = std::chrono::minutes(10);
+
+/// Freshness lasts 4 s and a start must not arrive later than 5 s after a
+/// change; the rest is for the way to the worker.
+constexpr auto start_send_bound = std::chrono::milliseconds(800);
+constexpr auto sync_retry_pause = std::chrono::milliseconds(200);
+
 /// Longest time for which an owner may have granted a lease, plus drift.
 duration lease_bound()
 {
@@ -43,9 +56,11 @@
 
 worker_book::worker_book(core_context& context) : context_(context) {}
 
-void worker_book::begin_epoch(std::uint64_t epoch)
+void worker_book::begin_epoch(time_point now, std::uint64_t epoch)
 {
     epoch_ = epoch;
+    epoch_began_ = now;
+    listed_ = false;
     workers_.clear();
     index_ = placement_index();
 }
@@ -53,22 +68,54 @@
 void worker_book::update_hosts(time_point now,
                                const std::vector<host_entry>& hosts)
 {
-    std::set<std::string> listed;
+    std::map<std::string, host_entry> listed;
+    listed_ = listed_ || !hosts.empty();
     for (const auto& host : hosts)
     {
         if (host.kind != host_kind::worker ||
             host.data_centre != context_.identity.data_centre)
             continue;
-        listed.insert(host.id);
-        auto [found, added] = workers_.try_emplace(host.id);
+        const auto [entry, first] = listed.try_emplace(host.id, host);
+        if (first)
+            continue;
+        // Listed twice: the address in use stays, and leaving wins.
+        const auto known = workers_.find(host.id);
+        const bool leaving = host.state == host_state::leaving ||
+                             entry->second.state == host_state::leaving;
+        if (known != workers_.end() &&
+            known->second.host.address == host.address)
+            entry->second = host;
+        if (leaving)
+            entry->second.state = host_state::leaving;
+    }
+    // A worker that has just left the list may still run tasks of an earlier
+    // epoch.
+    for (auto it = last_listed_.begin(); it != last_listed_.end();)
+    {
+        if (now - it->second >= lease_bound())
+        {
+            it = last_listed_.erase(it);
+            continue;
+        }
+        if (epoch_ != 0)
+            expect(now, it->first);
+        ++it;
+    }
+    for (const auto& [id, host] : listed)
+    {
+        last_listed_[id] = now;
+        auto [found, added] = workers_.try_emplace(id);
         auto& worker = found->second;
+        if (added || worker.host.address.empty())
+            context_.log(log_code::worker_joined, id);
+        else if (worker.host.address != host.address)
+            worker.reserved_until = worker.lease_over;
         worker.host = host;
         if (added)
         {
             // An older owner may have granted it a lease until now.
             worker.lease_over = now + lease_bound();
             worker.next_sync = now;
-            context_.log(log_code::worker_joined, host.id);
         }
         worker.leaving = host.state == host_state::leaving;
         reindex(worker);
@@ -90,6 +137,17 @@
     }
 }
 
+void worker_book::expect(time_point now, const std::string& worker)
+{
+    const auto [found, added] = workers_.try_emplace(worker);
+    if (!added)
+        return;
+    found->second.host.id = worker;
+    found->second.leaving = true;
+    found->second.lease_over = now + lease_bound();
+    found->second.next_sync = now;
+}
+
 resources worker_book::granted(const worker_record& worker) const
 {
     resources sum;
@@ -100,7 +158,9 @@
 
 void worker_book::reindex(const worker_record& worker)
 {
-    if (!worker.answered || worker.leaving)
+    const auto& quarantine = worker.quarantine;
+    if (!worker.answered || worker.leaving || quarantine.until ||
+        (quarantine.on_trial && !worker.attempts.empty()))
     {
         index_.remove(worker.host.id);
         return;
@@ -113,8 +173,15 @@
     index_.update(capacity);
 }
 
-bool worker_book::is_recovered(time_point now) const
+bool worker_book::is_recovered(time_point) const
+{
+    return !index_.workers().empty();
+}
+
+bool worker_book::all_settled(time_point now) const
 {
+    if (!listed_ && now < epoch_began_ + lease_bound())
+        return false;
     return std::all_of(workers_.begin(), workers_.end(),
                        [now](const auto& item) {
                            return item.second.answered ||
@@ -135,24 +202,79 @@
                        bool checkpoint)
 {
     const auto found = workers_.find(worker);
-    if (found != workers_.end())
-        found->second.stops.push_back(stop_task{attempt, checkpoint});
+    if (found == workers_.end())
+        return;
+    auto& stops = found->second.stops;
+    const bool queued = std::any_of(stops.begin(), stops.end(),
+                                    [&](const stop_task& each)
+                                    { return each.attempt == attempt; });
+    if (!queued)
+        stops.push_back(stop_task{attempt, checkpoint});
+}
+
+void worker_book::acknowledge(const std::string& worker,
+                              const attempt_id& attempt)
+{
+    const auto found = workers_.find(worker);
+    if (found != workers_.end() && found->second.results.count(attempt))
+        found->second.acks.push_back(attempt);
 }
 
-void worker_book::send_due(time_point now, time_point acts_until)
+std::vector<attempt_news> worker_book::withdraw_starts()
 {
+    std::vector<attempt_news> news;
     for (auto& [name, worker] : workers_)
     {
-        const bool has_work = !worker.starts.empty() || !worker.stops.empty();
-        if (worker.in_flight || (now < worker.next_sync && !has_work))
+        for (const auto& start : worker.starts)
+        {
+            const auto found = worker.attempts.find(start.attempt);
+            if (found == worker.attempts.end())
+                continue;
+            if (found->second.sent)
+            {
+                stop(name, start.attempt, false);
+                continue;
+            }
+            news.push_back(make_news(attempt_news::kind::refused, name,
+                                     start.attempt, found->second));
+            worker.attempts.erase(found);
+        }
+        worker.starts.clear();
+        reindex(worker);
+    }
+    return news;
+}
+
+void worker_book::send_due(time_point now, time_point acts_until,
+                           bool may_start)
+{
+    for (auto& [name, worker] : workers_)
+    {
+        const bool has_work = (may_start && !worker.starts.empty()) ||
+                              !worker.stops.empty() || !worker.acks.empty();
+        const bool due =
+            now >= worker.next_sync || (has_work && now >= worker.retry_at);
+        if (worker.in_flight || worker.host.address.empty() || !due)
             continue;
-        sync(now, acts_until, worker);
+        sync(now, acts_until, may_start, worker);
     }
 }
 
-void worker_book::sync(time_point now, time_point acts_until,
+void worker_book::sync(time_point now, time_point acts_until, bool may_start,
                        worker_record& worker)
 {
+    // A start that is to be stopped is not sent again: the worker would take
+    // the stop first and then start the task.
+    worker.starts.erase(
+        std::remove_if(worker.starts.begin(), worker.starts.end(),
+                       [&](const start_task& start)
+                       {
+                           return std::any_of(
+                               worker.stops.begin(), worker.stops.end(),
+                               [&](const stop_task& each)
+                               { return each.attempt == start.attempt; });
+                       }),
+        worker.starts.end());
     worker_sync message;
     message.worker = worker.host.id;
     message.address = worker.host.address;
@@ -163,15 +285,22 @@
     message.lease_ms = std::chrono::milliseconds(config::worker_lease).count();
     message.send_before =
         std::min(acts_until, now + duration(config::worker_sync_timeout));
-    message.starts = worker.starts;
-    message.stops = worker.stops;
-    message.acks = worker.acks;
-    worker.sent_starts = std::move(worker.starts);
-    worker.sent_stops = std::move(worker.stops);
-    worker.sent_acks = std::move(worker.acks);
-    worker.starts.clear();
-    worker.stops.clear();
-    worker.acks.clear();
+    if (may_start && !worker.starts.empty())
+    {
+        // The configuration was fresh when the start was decided; this bound
+        // keeps a start that is held back in the process from arriving more
+        // than 5 s after a change (I5).
+        message.send_before =
+            std::min(message.send_before, now + duration(start_send_bound));
+        worker.sent_starts = std::exchange(worker.starts, {});
+        for (const auto& start : worker.sent_starts)
+            worker.attempts[start.attempt].sent = true;
+    }
+    worker.sent_stops = std::exchange(worker.stops, {});
+    worker.sent_acks = std::exchange(worker.acks, {});
+    message.starts = worker.sent_starts;
+    message.stops = worker.sent_stops;
+    message.acks = worker.sent_acks;
     worker.in_flight = message.sequence;
     worker.next_sync = now + config::worker_sync_period;
     if (worker.token != 0)
@@ -194,13 +323,17 @@
     if (result.status == send_status::answered)
         on_answer(now, worker, result.reply, news);
     else
-        on_no_answer(worker, result.status);
+        on_no_answer(now, worker, result.status);
     reindex(worker);
     return news;
 }
 
-void worker_book::on_no_answer(worker_record& worker, send_status status)
+void worker_book::on_no_answer(time_point now, worker_record& worker,
+                               send_status status)
 {
+    // A refused connection fails at once; without a pause it would be tried
+    // again at once too.
+    worker.retry_at = now + sync_retry_pause;
     context_.counters.count("carobcourse_worker_sync_failures_total",
                             status == send_status::not_sent ? "not_sent"
                                                             : "unknown");
@@ -210,7 +343,9 @@
 void worker_book::requeue(worker_record& worker)
 {
     // Starts, stops and acknowledgements are idempotent by attempt, so they
-    // are sent again until the worker takes them or its lease is over.
+    // are sent again until the worker takes them or its lease is over. This
+    // depends on the worker taking only the latest token: an older message
+    // that arrives late is not taken.
     move_append(worker.starts, worker.sent_starts);
     move_append(worker.stops, worker.sent_stops);
     move_append(worker.acks, worker.sent_acks);
@@ -237,24 +372,33 @@
         requeue(worker);
         worker.next_sync = now;
     }
-    take_finished(worker, reply, news);
+    take_finished(now, worker, reply, news);
     take_refused(worker, reply, news);
-    take_running(worker, reply, news);
+    take_running(now, worker, reply, news);
     worker.sent_starts.clear();
     worker.sent_stops.clear();
     worker.sent_acks.clear();
 }
 
-void worker_book::take_finished(worker_record& worker, const sync_reply& reply,
+void worker_book::take_finished(time_point now, worker_record& worker,
+                                const sync_reply& reply,
                                 std::vector<attempt_news>& news)
 {
+    const auto passed_on = std::exchange(worker.results, {});
     for (const auto& finished : reply.finished)
     {
-        worker.acks.push_back(finished.attempt);
-        auto item =
-            make_news(attempt_news::kind::finished, worker.host.id,
-                      finished.attempt, worker.attempts[finished.attempt]);
-        worker.attempts.erase(finished.attempt);
+        worker.results.insert(finished.attempt);
+        const auto known = worker.attempts.find(finished.attempt);
+        const auto record =
+            known == worker.attempts.end() ? attempt_record{} : known->second;
+        if (known != worker.attempts.end())
+            worker.attempts.erase(known);
+        // The worker repeats a result until it is acknowledged.
+        if (passed_on.count(finished.attempt))
+            continue;
+        count_outcome(now, worker, finished);
+        auto item = make_news(attempt_news::kind::finished, worker.host.id,
+                              finished.attempt, record);
         item.outcome = finished.outcome;
         item.detail = finished.detail;
         item.checkpoint = finished.checkpoint;
@@ -278,7 +422,41 @@
     }
 }
 
-void worker_book::take_running(worker_record& worker, const sync_reply& reply,
+void worker_book::count_outcome(time_point now, worker_record& worker,
+                                const finished_task& finished)
+{
+    auto& quarantine = worker.quarantine;
+    if (finished.outcome == task_outcome::succeeded)
+    {
+        quarantine = {};
+        return;
+    }
+    // Stops and expired leases say nothing about the health of the worker.
+    if (finished.outcome != task_outcome::failed)
+        return;
+    ++quarantine.failures;
+    quarantine.jobs.insert(finished.attempt.task.job);
+    const bool over_limit = quarantine.failures >= quarantine_failures &&
+                            quarantine.jobs.size() >= quarantine_jobs;
+    if (quarantine.until || (!over_limit && !quarantine.on_trial))
+        return;
+    quarantine.length =
+        quarantine.length == duration{0}
+            ? duration(quarantine_first)
+            : std::min(quarantine.length * 2, duration(quarantine_longest));
+    quarantine.until = now + quarantine.length;
+    quarantine.on_trial = true;
+    context_.counters.count("carobcourse_worker_quarantines_total");
+    context_.log(log_code::worker_quarantined,
+                 fmt::format("{} for {} s after {} failures", worker.host.id,
+                             std::chrono::duration_cast<std::chrono::seconds>(
+                                 quarantine.length)
+                                 .count(),
+                             quarantine.failures));
+}
+
+void worker_book::take_running(time_point now, worker_record& worker,
+                               const sync_reply& reply,
                                std::vector<attempt_news>& news)
 {
     std::set<attempt_id> running;
@@ -299,7 +477,10 @@
         unsent.insert(start.attempt);
     for (auto it = worker.attempts.begin(); it != worker.attempts.end();)
     {
-        if (running.count(it->first) || unsent.count(it->first))
+        // Another process at a new address can not speak for the old one,
+        // which may still run until its lease is over.
+        const bool reserved = now < worker.reserved_until;
+        if (running.count(it->first) || unsent.count(it->first) || reserved)
         {
             ++it;
             continue;
@@ -315,22 +496,34 @@
     std::vector<attempt_news> news;
     for (auto& [name, worker] : workers_)
     {
+        auto& quarantine = worker.quarantine;
+        if (quarantine.until && now >= *quarantine.until)
+        {
+            quarantine.until.reset();
+            reindex(worker);
+        }
         // While a sync is in flight its result will arrive; until then the
         // worker may be renewed.
         if (worker.in_flight || now < worker.lease_over ||
             (worker.attempts.empty() && !worker.answered))
             continue;
-        context_.log(log_code::worker_lost, name);
-        for (const auto& [attempt, record] : worker.attempts)
-            news.push_back(
-                make_news(attempt_news::kind::lost, name, attempt, record));
-        worker.attempts.clear();
-        worker.starts.clear();
-        worker.stops.clear();
-        worker.answered = false;
-        reindex(worker);
+        expire(name, worker, news);
     }
     return news;
 }
 
+void worker_book::expire(const std::string& name, worker_record& worker,
+                         std::vector<attempt_news>& news)
+{
+    context_.log(log_code::worker_lost, name);
+    for (const auto& [attempt, record] : worker.attempts)
+        news.push_back(
+            make_news(attempt_news::kind::lost, name, attempt, record));
+    worker.attempts.clear();
+    worker.starts.clear();
+    worker.stops.clear();
+    worker.answered = false;
+    reindex(worker);
+}
+
 } // namespace carobcourse
