Index free capacity in a tree and put the policies behind one interface

Best fit, spread and gang placement scanned every worker. Workers get integer handles; a treap per number of free accelerators, ordered by free processor and memory, answers best fit in O(log n). A gang is planned whole and leaves nothing reserved; the task's detail says why its worker was chosen.

A randomized test compares the tree with a full scan over 20,000 changes.

--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -1,92 +1,239 @@
 #include "placement_p.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace carobcourse
 {
 
-void placement_index::update(const worker_capacity& worker)
+namespace
+{
+
+/// Workers that spread_fit looks at in order of free capacity before it
+/// turns to a pass over the racks.
+constexpr int spread_tries = 32;
+
+bool grew(const resources& before, const resources& after)
 {
-    workers_[worker.worker] = worker;
+    return !after.fits_in(before);
 }
 
-void placement_index::remove(const std::string& worker)
+} // namespace
+
+placement_tree& placement_index::tree_of(const resources& free)
 {
-    workers_.erase(worker);
+    const auto last = static_cast<std::int64_t>(accelerator_classes) - 1;
+    const auto at =
+        std::clamp(free.accelerators, std::int64_t{0}, std::int64_t{last});
+    return trees_[static_cast<std::size_t>(at)];
 }
 
-bool placement_index::could_ever_fit(const resources& amount) const
+rack_handle placement_index::rack_for(const std::string& name)
 {
-    return std::any_of(workers_.begin(), workers_.end(),
-                       [&](const auto& item)
-                       { return amount.fits_in(item.second.total); });
+    const auto [found, added] =
+        rack_names_.try_emplace(name, static_cast<rack_handle>(racks_.size()));
+    if (added)
+        racks_.push_back({name, {}});
+    return found->second;
 }
 
-namespace
+std::optional<rack_handle>
+placement_index::find_rack(const std::string& name) const
 {
+    const auto found = rack_names_.find(name);
+    if (found == rack_names_.end())
+        return std::nullopt;
+    return found->second;
+}
 
-using rack_counts = std::map<std::string, std::uint32_t>;
+void placement_index::leave_rack(worker_handle handle)
+{
+    auto& members = racks_[workers_[handle].rack].workers;
+    members.erase(std::find(members.begin(), members.end(), handle));
+}
 
-/// Packs tightly: least processor capacity left over.
-class best_fit_policy final : public placement_policy
+void placement_index::count_total(const resources& total, int change)
 {
-public:
-    std::optional<std::string> choose(const placement_index& index,
-                                      const resources& amount,
-                                      const rack_counts&) const override
+    const auto key =
+        std::make_tuple(total.cpu_millis, total.memory_mb, total.accelerators);
+    if ((shapes_[key] += change) == 0)
+        shapes_.erase(key);
+    total_ += total * change;
+}
+
+worker_handle placement_index::update(const worker_capacity& worker)
+{
+    const auto found = names_.find(worker.worker);
+    if (found != names_.end())
     {
-        const worker_capacity* best = nullptr;
-        for (const auto& [name, worker] : index.workers())
+        const auto handle = found->second;
+        auto& record = workers_[handle];
+        if (record.total != worker.total)
         {
-            if (!amount.fits_in(worker.free))
-                continue;
-            if (!best || worker.free.cpu_millis < best->free.cpu_millis)
-                best = &worker;
+            count_total(record.total, -1);
+            record.total = worker.total;
+            count_total(record.total, 1);
         }
-        if (!best)
-            return std::nullopt;
-        return best->worker;
+        if (racks_[record.rack].name != worker.rack)
+        {
+            leave_rack(handle);
+            record.rack = rack_for(worker.rack);
+            racks_[record.rack].workers.push_back(handle);
+        }
+        set_free(handle, worker.free);
+        return handle;
+    }
+    worker_handle handle = static_cast<worker_handle>(workers_.size());
+    if (unused_.empty())
+    {
+        workers_.emplace_back();
+        nodes_.emplace_back();
+    }
+    else
+    {
+        handle = unused_.back();
+        unused_.pop_back();
+    }
+    const auto rack = rack_for(worker.rack);
+    workers_[handle] = {worker.worker, rack, worker.total, true};
+    names_.emplace(worker.worker, handle);
+    racks_[rack].workers.push_back(handle);
+    count_total(worker.total, 1);
+    nodes_[handle].free = worker.free;
+    free_ += worker.free;
+    tree_of(worker.free).insert(nodes_, handle);
+    grown_.push_back(handle);
+    return handle;
+}
+
+void placement_index::remove(const std::string& worker)
+{
+    const auto found = names_.find(worker);
+    if (found == names_.end())
+        return;
+    const auto handle = found->second;
+    names_.erase(found);
+    tree_of(nodes_[handle].free).erase(nodes_, handle);
+    free_ -= nodes_[handle].free;
+    count_total(workers_[handle].total, -1);
+    leave_rack(handle);
+    workers_[handle].used = false;
+    unused_.push_back(handle);
+}
+
+void placement_index::set_free(worker_handle handle, const resources& free)
+{
+    if (grew(nodes_[handle].free, free))
+        grown_.push_back(handle);
+    restore_free(handle, free);
+}
+
+void placement_index::restore_free(worker_handle handle, const resources& free)
+{
+    const auto before = nodes_[handle].free;
+    if (before == free)
+        return;
+    tree_of(before).erase(nodes_, handle);
+    nodes_[handle].free = free;
+    tree_of(free).insert(nodes_, handle);
+    free_ += free - before;
+}
+
+worker_handle placement_index::find(const std::string& worker) const
+{
+    const auto found = names_.find(worker);
+    return found == names_.end() ? no_worker : found->second;
+}
+
+worker_handle placement_index::best_fit(const resources& amount) const
+{
+    const auto last = accelerator_classes - 1;
+    auto at = std::min(static_cast<std::size_t>(amount.accelerators), last);
+    for (; at <= last; ++at)
+    {
+        const auto found = trees_[at].first_fit(nodes_, amount);
+        if (found != no_worker)
+            return found;
     }
-};
+    return no_worker;
+}
 
-/// Spreads over racks, then takes the least loaded worker.
-class spread_policy final : public placement_policy
+worker_handle placement_index::spread_fit(
+    const resources& amount,
+    const std::map<rack_handle, std::uint32_t>& racks_used) const
 {
-public:
-    std::optional<std::string> choose(const placement_index& index,
-                                      const resources& amount,
-                                      const rack_counts& used) const override
+    const auto last = accelerator_classes - 1;
+    auto at = std::min(static_cast<std::size_t>(amount.accelerators), last);
+    bool any = false;
+    for (; at <= last; ++at)
     {
-        const auto count = [&](const worker_capacity& worker)
-        {
-            const auto found = used.find(worker.rack);
-            return found == used.end() ? 0U : found->second;
-        };
-        const worker_capacity* best = nullptr;
-        for (const auto& [name, worker] : index.workers())
+        worker_handle found = no_worker;
+        int tries = 0;
+        trees_[at].for_each_descending(
+            nodes_, amount,
+            [&](worker_handle handle)
+            {
+                any = true;
+                const auto rack = workers_[handle].rack;
+                if (racks_used.count(rack) == 0)
+                    found = handle;
+                return found == no_worker && ++tries < spread_tries;
+            });
+        if (found != no_worker)
+            return found;
+    }
+    return any ? scan_racks(amount, racks_used) : no_worker;
+}
+
+worker_handle placement_index::scan_racks(
+    const resources& amount,
+    const std::map<rack_handle, std::uint32_t>& racks_used) const
+{
+    worker_handle best = no_worker;
+    std::uint32_t best_count = 0;
+    auto used = racks_used.begin();
+    for (rack_handle rack = 0; rack < racks_.size(); ++rack)
+    {
+        while (used != racks_used.end() && used->first < rack)
+            ++used;
+        const auto count =
+            used != racks_used.end() && used->first == rack ? used->second : 0;
+        if (best != no_worker && count > best_count)
+            continue;
+        for (const auto handle : racks_[rack].workers)
         {
-            if (!amount.fits_in(worker.free))
+            const auto& free = nodes_[handle].free;
+            if (!amount.fits_in(free))
                 continue;
-            if (!best || count(worker) < count(*best) ||
-                (count(worker) == count(*best) &&
-                 worker.free.cpu_millis > best->free.cpu_millis))
-                best = &worker;
+            const auto rank = [this](worker_handle h)
+            {
+                return std::make_pair(nodes_[h].free.accelerators,
+                                      -nodes_[h].free.cpu_millis);
+            };
+            if (best == no_worker || count < best_count ||
+                rank(handle) < rank(best))
+            {
+                best = handle;
+                best_count = count;
+            }
         }
-        if (!best)
-            return std::nullopt;
-        return best->worker;
     }
-};
+    return best;
+}
 
-} // namespace
+bool placement_index::could_ever_fit(const resources& amount) const
+{
+    return std::any_of(shapes_.begin(), shapes_.end(),
+                       [&](const auto& item)
+                       {
+                           const auto& [cpu, memory, accelerators] = item.first;
+                           return amount.fits_in({cpu, memory, accelerators});
+                       });
+}
 
-const placement_policy& policy_for(job_kind kind)
+std::vector<worker_handle> placement_index::take_grown()
 {
-    static const best_fit_policy best_fit;
-    static const spread_policy spread;
-    if (kind == job_kind::service)
-        return spread;
-    return best_fit;
+    return std::exchange(grown_, {});
 }
 
 } // namespace carobcourse
--- a/src/placement_p.hpp
+++ b/src/placement_p.hpp
@@ -1,13 +1,16 @@
-/// Choice of a worker for a task.
+/// Free capacity of a shard's workers, indexed for placement.
 #pragma once
 
 #include <carobcourse/types.hpp>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
+#include <unordered_map>
 #include <vector>
 
+#include "placement_tree_p.hpp"
+
 namespace carobcourse
 {
 
@@ -26,37 +29,119 @@
     }
 };
 
-/// Free capacity of the workers that may get work.
+using rack_handle = std::uint32_t;
+
+/// Free capacity of the workers that may get work. Workers and racks have
+/// small integer handles; the handle of a removed worker is used again. Not
+/// thread safe.
 class placement_index
 {
 public:
     /// Adds the worker or replaces what is known of it.
-    void update(const worker_capacity& worker);
+    worker_handle update(const worker_capacity& worker);
     void remove(const std::string& worker);
-    const std::map<std::string, worker_capacity>& workers() const
+    /// Changes the free amount only. Precondition: `handle` is in use.
+    void set_free(worker_handle handle, const resources& free);
+    /// As set_free, but does not count as capacity that became free: undoes
+    /// a trial placement.
+    void restore_free(worker_handle handle, const resources& free);
+
+    /// Returns `no_worker` for an unknown name.
+    worker_handle find(const std::string& worker) const;
+    const std::string& name(worker_handle handle) const
+    {
+        return workers_[handle].name;
+    }
+    rack_handle rack(worker_handle handle) const
+    {
+        return workers_[handle].rack;
+    }
+    const std::string& rack_name(rack_handle rack) const
+    {
+        return racks_[rack].name;
+    }
+    /// Returns no value for a rack that no worker was ever in.
+    std::optional<rack_handle> find_rack(const std::string& name) const;
+    const resources& free(worker_handle handle) const
+    {
+        return nodes_[handle].free;
+    }
+    const resources& total(worker_handle handle) const
+    {
+        return workers_[handle].total;
+    }
+    std::size_t size() const
+    {
+        return names_.size();
+    }
+    /// Sum over all workers in the index.
+    const resources& total_capacity() const
     {
-        return workers_;
+        return total_;
     }
+    const resources& free_capacity() const
+    {
+        return free_;
+    }
+
+    /// Worker with room for `amount` that has the fewest free accelerators,
+    /// then the least free processor, then the least free memory.
+    worker_handle best_fit(const resources& amount) const;
+    /// Worker with room in a rack with the lowest count in `racks_used`; of
+    /// several, one with the fewest free accelerators, then the freest.
+    worker_handle
+    spread_fit(const resources& amount,
+               const std::map<rack_handle, std::uint32_t>& racks_used) const;
+
     /// True when an empty worker could hold `amount`.
     bool could_ever_fit(const resources& amount) const;
 
+    /// Workers whose free capacity grew since the last call. A worker may be
+    /// listed twice or be gone by now.
+    std::vector<worker_handle> take_grown();
+    bool is_used(worker_handle handle) const
+    {
+        return handle < workers_.size() && workers_[handle].used;
+    }
+
 private:
-    std::map<std::string, worker_capacity> workers_;
-};
+    /// Accelerators free per worker that get a tree of their own; workers
+    /// with more share the last tree.
+    static constexpr std::size_t accelerator_classes = 17;
 
-/// Chooses workers for one kind of work. Implementations keep no state.
-class placement_policy
-{
-public:
-    virtual ~placement_policy() = default;
-    /// Returns a worker with room for `amount`. `racks_used` counts the
-    /// tasks of the same job per rack.
-    virtual std::optional<std::string>
-    choose(const placement_index& index, const resources& amount,
-           const std::map<std::string, std::uint32_t>& racks_used) const = 0;
-};
+    struct worker_record
+    {
+        std::string name;
+        rack_handle rack = 0;
+        resources total;
+        bool used = false;
+    };
+    struct rack_record
+    {
+        std::string name;
+        std::vector<worker_handle> workers;
+    };
+
+    placement_tree& tree_of(const resources& free);
+    rack_handle rack_for(const std::string& name);
+    void leave_rack(worker_handle handle);
+    void count_total(const resources& total, int change);
+    worker_handle
+    scan_racks(const resources& amount,
+               const std::map<rack_handle, std::uint32_t>& racks_used) const;
 
-/// Returns the policy for a kind of work. It lives as long as the program.
-const placement_policy& policy_for(job_kind kind);
+    placement_tree::node_array nodes_;
+    placement_tree trees_[accelerator_classes];
+    std::vector<worker_record> workers_;
+    std::vector<worker_handle> unused_;
+    std::unordered_map<std::string, worker_handle> names_;
+    std::vector<rack_record> racks_;
+    std::unordered_map<std::string, rack_handle> rack_names_;
+    /// Workers per shape of total capacity. Fleets have few shapes.
+    std::map<std::tuple<std::int64_t, std::int64_t, std::int64_t>, int> shapes_;
+    resources total_;
+    resources free_;
+    std::vector<worker_handle> grown_;
+};
 
 } // namespace carobcourse
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -1,5 +1,5 @@
 // Order and placement of waiting tasks.
-#include "placement_p.hpp"
+#include "policy_p.hpp"
 #include "shard_scheduler_p.hpp"
 
 namespace carobcourse
@@ -26,17 +26,18 @@
 bool shard_scheduler::place_task(time_point now, job_record& job,
                                  std::uint32_t index)
 {
-    std::map<std::string, std::uint32_t> racks_used;
-    const auto worker =
-        policy_for(job.spec.kind)
-            .choose(workers_.index(), job.spec.amount, racks_used);
-    if (!worker)
+    auto& free = workers_.index();
+    placement_request request;
+    request.amount = job.spec.amount;
+    const auto chosen = policy_for(job.spec.kind).choose(free, request);
+    if (chosen.empty())
     {
-        job.reason = workers_.index().could_ever_fit(job.spec.amount)
+        job.reason = free.could_ever_fit(job.spec.amount)
                          ? "no worker has room"
                          : "no worker could ever hold a task";
         return false;
     }
+    const auto worker = free.name(chosen.front().worker);
     auto& task = job.tasks[index];
     start_task start;
     start.attempt = {{job.spec.id, index}, task.attempt + 1};
@@ -48,12 +49,13 @@
     start.run_ms = job.spec.run_ms;
     task.attempt = start.attempt.attempt;
     task.state = task_state::starting;
-    task.worker = *worker;
+    task.worker = worker;
+    task.detail = chosen.front().why;
     job.reason.clear();
     context_.counters.count("carobcourse_task_starts_total");
     context_.counters.observe("carobcourse_task_wait_seconds",
                               now - job.accepted_at);
-    workers_.start(*worker, std::move(start));
+    workers_.start(worker, std::move(start));
     task_changed(job.spec.id);
     return true;
 }
--- a/src/worker_book_p.hpp
+++ b/src/worker_book_p.hpp
@@ -61,6 +61,11 @@
     {
         return index_;
     }
+    /// For trial placements, which restore what they change.
+    placement_index& index()
+    {
+        return index_;
+    }
 
     /// True when every worker has answered in this epoch, or its lease under
     /// an older epoch is certainly over.
--- /dev/null
+++ b/tests/test_placement.cpp
@@ -0,0 +1,134 @@
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "policy_p.hpp"
+
+using namespace carobcourse;
+
+namespace
+{
+
+worker_capacity make_worker(int number, int per_rack, const resources& total)
+{
+    return {"w" + std::to_string(number),
+            "r" + std::to_string(number / per_rack), total, total};
+}
+
+/// Least left-over processor, then memory, among workers with room.
+worker_handle scan_best_fit(const placement_index& index, std::size_t workers,
+                            const resources& amount)
+{
+    worker_handle best = no_worker;
+    const auto rank = [&index](worker_handle h)
+    {
+        const auto& f = index.free(h);
+        return std::make_tuple(f.accelerators, f.cpu_millis, f.memory_mb, h);
+    };
+    for (worker_handle h = 0; h < workers; ++h)
+    {
+        if (!index.is_used(h) || !amount.fits_in(index.free(h)))
+            continue;
+        if (best == no_worker || rank(h) < rank(best))
+            best = h;
+    }
+    return best;
+}
+
+} // namespace
+
+TEST_CASE("the index finds the same best fit as a full scan")
+{
+    // Guards against a tree that loses a worker or keeps a stale maximum
+    // after free amounts change and workers leave and return.
+    std::mt19937_64 random(42);
+    placement_index index;
+    const std::size_t workers = 200;
+    const resources total{32000, 131072, 4};
+    for (int i = 0; i < static_cast<int>(workers); ++i)
+        index.update(make_worker(i, 6, total));
+    const auto below = [&random](std::int64_t n) {
+        return static_cast<std::int64_t>(random() %
+                                         static_cast<std::uint64_t>(n));
+    };
+    for (int step = 0; step < 20000; ++step)
+    {
+        const auto h = static_cast<worker_handle>(random() % workers);
+        if (random() % 50 == 0)
+        {
+            const auto name = index.name(h);
+            const auto rack = index.rack_name(index.rack(h));
+            index.remove(name);
+            CHECK_FALSE(index.is_used(h));
+            REQUIRE(index.update({name, rack, total, total}) == h);
+        }
+        index.set_free(h, {below(33) * 1000, below(129) * 1024, below(5)});
+        const resources amount{below(33) * 1000, below(129) * 1024, below(5)};
+        REQUIRE(index.best_fit(amount) ==
+                scan_best_fit(index, workers, amount));
+    }
+    resources sum;
+    for (worker_handle h = 0; h < workers; ++h)
+        sum += index.free(h);
+    CHECK(sum == index.free_capacity());
+    CHECK(index.total_capacity() == total * 200);
+}
+
+TEST_CASE("a service is spread over all racks before a rack gets a second task")
+{
+    // Guards against a rack failure that ends most tasks of a service.
+    placement_index index;
+    const resources total{32000, 131072, 0};
+    for (int i = 0; i < 60; ++i)
+        index.update(make_worker(i, 6, total));
+    placement_request request;
+    request.amount = {1000, 1024, 0};
+    for (int task = 0; task < 30; ++task)
+    {
+        const auto chosen =
+            policy_for(job_kind::service).choose(index, request);
+        REQUIRE(chosen.size() == 1);
+        const auto worker = chosen.front().worker;
+        CHECK(std::string(chosen.front().why).find("spread") == 0);
+        index.set_free(worker, index.free(worker) - request.amount);
+        ++request.racks_used[index.rack(worker)];
+    }
+    CHECK(request.racks_used.size() == 10);
+    for (const auto& [rack, count] : request.racks_used)
+        CHECK(count == 3);
+}
+
+TEST_CASE("a gang is placed whole or not at all, and a trial holds nothing")
+{
+    // Guards against part of a gang holding capacity while the rest waits.
+    placement_index index;
+    for (int i = 0; i < 4; ++i)
+        index.update(make_worker(i, 2, {4000, 8192, 0}));
+    index.take_grown();
+    placement_request request;
+    request.amount = {1500, 1024, 0};
+    request.tasks = 9; // Two per worker, though the sum would hold ten.
+    const auto free = index.free_capacity();
+    CHECK(policy_for(job_kind::gang).choose(index, request).empty());
+    CHECK(index.free_capacity() == free);
+    CHECK(index.take_grown().empty());
+    request.tasks = 8;
+    const auto chosen = policy_for(job_kind::gang).choose(index, request);
+    REQUIRE(chosen.size() == 8);
+    CHECK(index.free_capacity() == free);
+    std::map<worker_handle, int> per_worker;
+    for (const auto& one : chosen)
+        ++per_worker[one.worker];
+    CHECK(per_worker.size() == 4);
+}
+
+TEST_CASE("tasks without accelerators keep off workers with free ones")
+{
+    // Guards against accelerators stranded behind full processors.
+    placement_index index;
+    index.update(make_worker(0, 1, {2000, 4096, 2}));
+    index.update(make_worker(1, 1, {32000, 131072, 0}));
+    CHECK(index.name(index.best_fit({1000, 1024, 0})) == "w1");
+    CHECK(index.name(index.best_fit({1000, 1024, 1})) == "w0");
+    CHECK(index.could_ever_fit({32000, 131072, 0}));
+    CHECK_FALSE(index.could_ever_fit({32000, 131072, 1}));
+}
