--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -9,10 +9,6 @@
 namespace
 {
 
-/// Workers that spread_fit looks at in order of free capacity before it
-/// turns to a pass over the racks.
-constexpr int spread_tries = 32;
-
 bool grew(const resources& before, const resources& after)
 {
     return !after.fits_in(before);
@@ -164,25 +160,23 @@
 {
     const auto last = accelerator_classes - 1;
     auto at = std::min(static_cast<std::size_t>(amount.accelerators), last);
-    bool any = false;
-    for (; at <= last; ++at)
+    // The walk passes over the fitting workers of used racks only, so it is
+    // short unless the job is in most racks already.
+    for (; racks_used.size() < racks_.size() && at <= last; ++at)
     {
         worker_handle found = no_worker;
-        int tries = 0;
-        trees_[at].for_each_descending(
-            nodes_, amount,
-            [&](worker_handle handle)
-            {
-                any = true;
-                const auto rack = workers_[handle].rack;
-                if (racks_used.count(rack) == 0)
-                    found = handle;
-                return found == no_worker && ++tries < spread_tries;
-            });
+        const auto visit = [&](worker_handle handle)
+        {
+            if (racks_used.count(workers_[handle].rack) == 0)
+                found = handle;
+            return found == no_worker;
+        };
+        trees_[at].for_each_descending(nodes_, amount, visit);
         if (found != no_worker)
             return found;
     }
-    return any ? scan_racks(amount, racks_used) : no_worker;
+    return best_fit(amount) == no_worker ? no_worker
+                                         : scan_racks(amount, racks_used);
 }
 
 worker_handle placement_index::scan_racks(
