--- a/src/worker_book_p.hpp
+++ b/src/worker_book_p.hpp
@@ -67,6 +67,11 @@
     {
         return index_;
     }
+    /// For trial placements, which restore what they change.
+    placement_index& index()
+    {
+        return index_;
+    }
 
     /// True when placement may begin: a worker has answered in this epoch.
     /// The index has only workers that have answered.
