--- a/include/carobcourse/config.hpp
+++ b/include/carobcourse/config.hpp
@@ -47,6 +47,40 @@
 constexpr auto executor_connect_timeout = 1000ms;
 constexpr std::uint32_t executor_slots = 8;
 constexpr std::uint32_t executor_connections = 64;
+/// Attempts of one request that may fail; refusals for want of a slot are
+/// not counted, as they cost the server nothing.
+constexpr std::uint32_t max_failed_attempts = 3;
+constexpr auto retry_backoff = 10ms;
+/// Requests that earn one retry: a budget of 10%.
+constexpr std::uint32_t requests_per_retry = 10;
+/// Retries saved up at most; also the number at the start, so that a host
+/// with little load can retry at all.
+constexpr std::uint32_t max_saved_retries = 20;
+constexpr std::uint32_t breaker_failures = 5;
+/// A wait that ends at an earlier deadline does not count as a failure, so
+/// that callers with short deadlines can not open a circuit.
+constexpr auto executor_patience = 1000ms;
+constexpr auto breaker_open_first = 1000ms;
+constexpr auto breaker_open_most = 30000ms;
+/// A server without a free slot is left alone for about this long.
+constexpr auto no_slot_pause = 20ms;
+/// Age up to which a report of free slots may be borrowed on.
+constexpr auto slot_report_validity = 500ms;
+/// Servers that are gone from the list are remembered for so long, so that
+/// a stale list does not bring one back as live.
+constexpr auto executor_memory = 600s;
+/// Measured service times: samples needed and age up to which they count.
+constexpr std::uint32_t service_time_samples = 8;
+constexpr auto service_time_validity = 5000ms;
+
+// At most once.
+constexpr auto ticket_validity = 300s;
+constexpr auto idempotency_memory = 300s;
+constexpr std::size_t max_idempotency_key_bytes = 128;
+constexpr std::size_t claim_batch = 64;
+constexpr std::size_t ledger_capacity = 262144;
+constexpr std::size_t ledger_team_capacity = 65536;
+constexpr std::size_t ledger_answer_bytes = std::size_t{64} * 1024 * 1024;
 
 // Table service.
 constexpr auto store_timeout = 2000ms;
--- a/include/carobcourse/result_code.hpp
+++ b/include/carobcourse/result_code.hpp
@@ -38,6 +38,10 @@
       "no backend server serves this service")                                 \
     X(backend_unreachable, 1106, 502, not_run,                                 \
       "no backend server could be reached")                                    \
+    X(retry_budget_spent, 1107, 503, not_run,                                  \
+      "no backend server was reached and the retry budget is spent")           \
+    X(ledger_full, 1108, 503, not_run,                                         \
+      "no room to remember another request that must run once")                \
     X(no_configuration, 1201, 503, not_run,                                    \
       "no configuration has been read yet")                                    \
     X(configuration_stale, 1202, 503, not_run,                                 \
@@ -50,6 +54,10 @@
       "a request with this idempotency key is in progress")                    \
     X(outcome_unknown, 1302, 504, unknown,                                     \
       "the outcome of the request is unknown")                                 \
+    X(idempotency_mismatch, 1303, 422, not_applicable,                         \
+      "the idempotency key or ticket was used for another request")            \
+    X(ticket_invalid, 1304, 403, not_run,                                      \
+      "the ticket is not one of this team")                                    \
     X(job_exists, 1401, 409, not_run, "a job with this id exists")             \
     X(job_unrunnable, 1402, 422, not_run,                                      \
       "no host could ever hold a task of this job")                            \
--- a/src/entry_host.cpp
+++ b/src/entry_host.cpp
@@ -49,13 +49,15 @@
                                             context_.counters.render()});
         return;
     }
+    // Refuses by itself while stopping, as it knows what a repeat may hear.
+    if (requests_.on_call(now, call))
+        return;
     if (stopping_ && now >= refuse_from_)
     {
         context_.refuse(call.id, {result_code::stopping, ""});
         return;
     }
-    if (requests_.on_call(now, call) || scheduler_.on_call(now, call) ||
-        config_.on_call(now, call))
+    if (scheduler_.on_call(now, call) || config_.on_call(now, call))
         return;
     context_.refuse(call.id, {result_code::not_found, call.path});
 }
@@ -122,7 +124,11 @@
     check_drained(now);
 }
 
-void entry_host::on_event(time_point, const peer_received&) {}
+void entry_host::on_event(time_point now, const peer_received& message)
+{
+    if (requests_.on_peer(now, message))
+        check_drained(now);
+}
 
 void entry_host::on_event(time_point, const peer_state&) {}
 
@@ -135,6 +141,7 @@
     refuse_from_ = now + grace;
     drain_until_ = now + context_.identity.drain_deadline;
     context_.log(log_code::stop_requested, "");
+    requests_.stop(refuse_from_);
     scheduler_.stop(now);
 }
 
@@ -151,7 +158,11 @@
     if (!drained && now < drain_until_)
         return;
     if (!drained)
+    {
         context_.log(log_code::drain_deadline, "");
+        if (const auto cut = requests_.cut(); cut > 0)
+            context_.log(log_code::requests_cut, std::to_string(cut));
+    }
     stopped_ = true;
     context_.out.emplace_back(stop_complete{});
 }
--- a/src/event_p.hpp
+++ b/src/event_p.hpp
@@ -299,6 +299,8 @@
     std::uint32_t answered_attempt = 0;
     std::uint32_t slots_free = 0;
     bool leaving = false;
+    /// The server refused for want of a slot; certain: it did not run.
+    bool no_slot = false;
     std::string content_type;
     std::string body;
 };
--- a/src/executor_pool.cpp
+++ b/src/executor_pool.cpp
@@ -7,11 +7,13 @@
 
 executor_pool::executor_pool(core_context& context) : context_(context) {}
 
-void executor_pool::update_hosts(const std::vector<host_entry>& hosts)
+void executor_pool::update_hosts(time_point now,
+                                 const std::vector<host_entry>& hosts)
 {
-    std::map<std::string, executor_record> next;
     by_service_.clear();
     entry_hosts_ = 0;
+    for (auto& [id, record] : executors_)
+        record.listed = false;
     for (const auto& host : hosts)
     {
         if (host.data_centre != context_.identity.data_centre)
@@ -20,17 +22,22 @@
             ++entry_hosts_;
         if (host.kind != host_kind::executor)
             continue;
-        auto& record = next[host.id];
-        const auto known = executors_.find(host.id);
-        if (known != executors_.end())
-            record = known->second;
+        auto& record = executors_[host.id];
         record.host = host;
+        record.listed = true;
+        record.forget_at = now + config::executor_memory;
         record.leaving = record.leaving || host.state == host_state::leaving;
         for (const auto& service : host.services)
             by_service_[service].push_back(host.id);
     }
     entry_hosts_ = std::max<std::size_t>(entry_hosts_, 1);
-    executors_ = std::move(next);
+    for (auto it = executors_.begin(); it != executors_.end();)
+    {
+        const auto& record = it->second;
+        const bool forget = !record.listed && record.outstanding == 0 &&
+                            now >= record.forget_at;
+        it = forget ? executors_.erase(it) : std::next(it);
+    }
 }
 
 bool executor_pool::serves(const std::string& service) const
@@ -43,45 +50,178 @@
                        { return !executors_.at(id).leaving; });
 }
 
-bool executor_pool::may_take(const executor_record& record) const
+std::uint32_t executor_pool::share() const
 {
-    const auto share =
-        std::max<std::size_t>(config::executor_slots / entry_hosts_, 1);
-    return !record.leaving && record.outstanding < share;
+    return std::max(
+        config::executor_slots / static_cast<std::uint32_t>(entry_hosts_), 1U);
 }
 
-std::optional<executor_choice>
-executor_pool::acquire(const std::string& service)
+std::uint32_t executor_pool::limit(time_point now,
+                                   const executor_record& record) const
 {
+    return now < record.borrow_until ? std::max(share(), record.borrowed_limit)
+                                     : share();
+}
+
+std::size_t executor_pool::usable_slots(time_point now,
+                                        const std::string& service) const
+{
+    std::size_t slots = 0;
     const auto found = by_service_.find(service);
+    if (found != by_service_.end())
+    {
+        for (const auto& id : found->second)
+        {
+            const auto& record = executors_.at(id);
+            if (record.leaving || is_half_open(record))
+                continue;
+            slots += limit(now, record);
+        }
+    }
+    return std::max<std::size_t>(slots, 1);
+}
+
+bool executor_pool::is_half_open(const executor_record& record)
+{
+    return record.failures >= config::breaker_failures;
+}
+
+bool executor_pool::may_take(time_point now,
+                             const executor_record& record) const
+{
+    if (record.leaving || !record.listed || now < record.paused_until)
+        return false;
+    if (is_half_open(record))
+        return now >= record.open_until && !record.trial;
+    return record.outstanding < limit(now, record);
+}
+
+executor_pool::executor_record&
+executor_pool::choose(const std::vector<executor_record*>& usable)
+{
+    std::uniform_int_distribution<std::size_t> pick(0, usable.size() - 1);
+    auto* first = usable[pick(context_.random)];
+    auto* second = usable[pick(context_.random)];
+    const auto load = [](const executor_record* record)
+    { return record->outstanding + record->reported_busy; };
+    return load(second) < load(first) ? *second : *first;
+}
+
+std::optional<executor_choice> executor_pool::acquire(time_point now,
+                                                      const executor_need& need)
+{
+    const auto found = by_service_.find(need.service);
     if (found == by_service_.end())
         return std::nullopt;
     std::vector<executor_record*> usable;
+    std::vector<executor_record*> last_resort;
     for (const auto& id : found->second)
     {
         auto& record = executors_.at(id);
-        if (may_take(record))
-            usable.push_back(&record);
+        if (!may_take(now, record))
+            continue;
+        // A request that must not run twice is a trial only if there is no
+        // other server, because a failed trial leaves its outcome unknown.
+        const bool second_choice =
+            id == need.avoid || (is_half_open(record) && !need.idempotent);
+        (second_choice ? last_resort : usable).push_back(&record);
     }
+    if (usable.empty())
+        usable = std::move(last_resort);
     if (usable.empty())
         return std::nullopt;
-    std::uniform_int_distribution<std::size_t> pick(0, usable.size() - 1);
-    auto* first = usable[pick(context_.random)];
-    auto* second = usable[pick(context_.random)];
-    auto* best = second->outstanding < first->outstanding ? second : first;
-    ++best->outstanding;
-    return executor_choice{best->host.id, best->host.address};
+    auto& best = choose(usable);
+    if (is_half_open(best))
+    {
+        best.trial = true;
+        context_.counters.count("carobcourse_breaker_trials_total");
+    }
+    else if (best.outstanding >= share())
+    {
+        context_.counters.count("carobcourse_borrowed_slots_total");
+    }
+    ++best.outstanding;
+    attempts_[{need.request, need.attempt}] = {best.host.id, now};
+    return executor_choice{best.host.id, best.host.address};
 }
 
-void executor_pool::release(const execute_result& result)
+bool executor_pool::release(time_point now, const execute_result& result,
+                            bool timed_out)
 {
+    const auto attempt = attempts_.find({result.request, result.attempt});
+    if (attempt == attempts_.end() ||
+        attempt->second.executor != result.executor)
+        return false;
+    const bool is_server_fault = !timed_out || now - attempt->second.sent_at >=
+                                                   config::executor_patience;
+    attempts_.erase(attempt);
     const auto found = executors_.find(result.executor);
     if (found == executors_.end())
-        return;
+        return true;
     auto& record = found->second;
-    if (record.outstanding > 0)
-        --record.outstanding;
+    --record.outstanding;
     record.leaving = record.leaving || result.leaving;
+    if (result.no_slot)
+    {
+        std::uniform_real_distribution<double> jitter(0.5, 1.5);
+        record.borrowed_limit = 0;
+        record.paused_until = now + std::chrono::duration_cast<duration>(
+                                        duration(config::no_slot_pause) *
+                                        jitter(context_.random));
+        record.trial = false;
+    }
+    else if (result.status == send_status::answered)
+    {
+        record.failures = 0;
+        record.trial = false;
+        record.open_for = duration(0);
+        take_report(now, record, result);
+    }
+    else if (is_server_fault)
+    {
+        take_failure(now, record);
+    }
+    else
+    {
+        record.trial = false;
+    }
+    return true;
+}
+
+void executor_pool::take_report(time_point now, executor_record& record,
+                                const execute_result& result)
+{
+    const auto free = std::min(result.slots_free, config::executor_slots);
+    record.reported_busy = config::executor_slots - free;
+    // Free slots beyond this host's own unused ones. Only half is borrowed,
+    // because the other entry hosts see the same report.
+    const auto own =
+        share() > record.outstanding ? share() - record.outstanding : 0;
+    const auto borrowed = free > own ? (free - own + 1) / 2 : 0;
+    record.borrowed_limit = std::max(share(), record.outstanding) + borrowed;
+    record.borrow_until = now + config::slot_report_validity;
+}
+
+void executor_pool::take_failure(time_point now, executor_record& record)
+{
+    const bool was_trial = std::exchange(record.trial, false);
+    if (record.failures < config::breaker_failures)
+        ++record.failures;
+    if (record.failures < config::breaker_failures)
+        return;
+    // Failures of attempts that were sent before the circuit opened do not
+    // keep it open longer.
+    if (record.open_for != duration(0) && !was_trial)
+        return;
+    record.open_for = record.open_for == duration(0)
+                          ? duration(config::breaker_open_first)
+                          : std::min(record.open_for * 2,
+                                     duration(config::breaker_open_most));
+    std::uniform_real_distribution<double> jitter(0.75, 1.25);
+    record.open_until = now + std::chrono::duration_cast<duration>(
+                                  record.open_for * jitter(context_.random));
+    context_.counters.count("carobcourse_breaker_opened_total");
+    context_.log(log_code::circuit_opened, record.host.id);
 }
 
 } // namespace carobcourse
--- a/src/executor_pool_p.hpp
+++ b/src/executor_pool_p.hpp
@@ -2,11 +2,13 @@
 #pragma once
 
 #include <carobcourse/types.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core_context_p.hpp"
@@ -21,38 +23,89 @@
     std::string address;
 };
 
-/// Aggregate. Rule: never more attempts outstanding at a server than the
-/// share of its slots that this entry host may use. Not thread safe.
+/// What an attempt needs of a server.
+struct executor_need
+{
+    std::string request;
+    std::uint32_t attempt = 0;
+    std::string service;
+    std::string avoid;       ///< Not chosen while another one is usable.
+    bool idempotent = false; ///< Preferred as the trial of a half-open server.
+};
+
+/// Aggregate. Rules: attempts outstanding at a server are at most this
+/// host's share of its slots plus what was borrowed on a recent report of
+/// free slots; a server that is leaving never gets another attempt; an
+/// attempt holds its slot until its result arrives, also when the server is
+/// no longer listed. Not thread safe.
 class executor_pool
 {
 public:
     explicit executor_pool(core_context& context);
 
-    void update_hosts(const std::vector<host_entry>& hosts);
+    void update_hosts(time_point now, const std::vector<host_entry>& hosts);
 
     /// True when a server that is not leaving serves `service`.
     bool serves(const std::string& service) const;
 
+    /// Slots of this host's share at servers that may get work now, at
+    /// least 1.
+    std::size_t usable_slots(time_point now, const std::string& service) const;
+
     /// Chooses by power of two choices and takes a slot, or returns nothing
     /// when no server has one free.
-    std::optional<executor_choice> acquire(const std::string& service);
+    std::optional<executor_choice> acquire(time_point now,
+                                           const executor_need& need);
+
+    /// Takes note of a result. Returns false when no such attempt is
+    /// outstanding. `timed_out` states that the deadline of the request has
+    /// passed; then only a long wait counts against the server.
+    bool release(time_point now, const execute_result& result, bool timed_out);
 
-    /// Returns the slot and takes note of the server's report.
-    void release(const execute_result& result);
+    std::size_t outstanding() const
+    {
+        return attempts_.size();
+    }
 
 private:
+    using attempt_name = std::pair<std::string, std::uint32_t>;
+
     struct executor_record
     {
         host_entry host;
         std::uint32_t outstanding = 0;
+        std::uint32_t borrowed_limit = 0; ///< Replaces the share if larger.
+        time_point borrow_until;
+        time_point paused_until; ///< After a refusal for want of a slot.
+        std::uint32_t reported_busy = 0;
         bool leaving = false;
+        bool listed = false;
+        time_point forget_at; ///< When not listed.
+        std::uint32_t failures = 0;
+        bool trial = false; ///< A trial of a half-open server is in flight.
+        duration open_for{0};
+        time_point open_until;
+    };
+
+    struct attempt_record
+    {
+        std::string executor;
+        time_point sent_at;
     };
 
-    bool may_take(const executor_record& record) const;
+    std::uint32_t share() const;
+    std::uint32_t limit(time_point now, const executor_record& record) const;
+    static bool is_half_open(const executor_record& record);
+    bool may_take(time_point now, const executor_record& record) const;
+    executor_record& choose(const std::vector<executor_record*>& usable);
+    void take_report(time_point now, executor_record& record,
+                     const execute_result& result);
+    void take_failure(time_point now, executor_record& record);
 
     core_context& context_;
     std::map<std::string, executor_record> executors_;
     std::map<std::string, std::vector<std::string>> by_service_;
+    std::map<attempt_name, attempt_record> attempts_; ///< Outstanding.
     std::size_t entry_hosts_ = 1;
 };
 
--- a/src/log_event_p.hpp
+++ b/src/log_event_p.hpp
@@ -33,7 +33,11 @@
     X(job_accepted, 2401, info, "a job is durable")                            \
     X(job_ended, 2402, info, "a job has ended")                                \
     X(request_unknown, 2501, warning, "the outcome of a request is unknown")   \
-    X(answer_dropped, 2502, warning, "an answer named another attempt")
+    X(answer_dropped, 2502, warning, "an answer named another attempt")        \
+    X(circuit_opened, 2503, warning,                                           \
+      "a backend server fails; its circuit is open")                           \
+    X(requests_cut, 2504, warning,                                             \
+      "the drain deadline passed with requests unanswered")
 
 enum class log_code : std::uint16_t
 {
--- /dev/null
+++ b/src/request_claims.cpp
@@ -0,0 +1,122 @@
+#include "request_claims_p.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace carobcourse
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr char table[] = "idempotency";
+
+} // namespace
+
+request_claims::request_claims(core_context& context) : context_(context) {}
+
+void request_claims::add(request_claim claim)
+{
+    waiting_.push_back(std::move(claim));
+}
+
+void request_claims::flush()
+{
+    if (commit_ || waiting_.empty())
+        return;
+    store_commit commit;
+    commit.op = context_.next_op(component::requests);
+    while (!waiting_.empty() && batch_.size() < config::claim_batch)
+    {
+        auto& claim = waiting_.front();
+        commit.writes.push_back(
+            {table, claim.key, 0,
+             json{{"host", context_.identity.host},
+                  {"incarnation", context_.identity.incarnation},
+                  {"claim", claim.claim}}
+                 .dump()});
+        batch_.push_back(std::move(claim));
+        waiting_.pop_front();
+    }
+    commit_ = commit.op;
+    context_.counters.count("carobcourse_claim_commits_total");
+    context_.out.emplace_back(std::move(commit));
+}
+
+std::vector<claim_outcome>
+request_claims::on_store_result(const store_result& result)
+{
+    if (commit_ && result.op == *commit_)
+        return on_commit(result);
+    const auto read = reads_.find(result.op);
+    if (read == reads_.end())
+        return {};
+    const auto claim = read->second;
+    reads_.erase(read);
+    return {on_read(result, claim)};
+}
+
+request_claims::outcomes request_claims::on_commit(const store_result& result)
+{
+    commit_.reset();
+    const auto batch = std::exchange(batch_, {});
+    outcomes settled;
+    switch (result.status)
+    {
+    case store_status::ok:
+        for (const auto& claim : batch)
+            settled.push_back({claim.request, claim_status::taken, "", ""});
+        break;
+    case store_status::conflict:
+        // Nothing was written. The row that exists is read; the others go
+        // into the next commit, before those that came later.
+        for (std::size_t i = batch.size(); i-- > 0;)
+        {
+            if (i == result.conflict_index)
+                read_back(batch[i]);
+            else
+                waiting_.push_front(batch[i]);
+        }
+        break;
+    case store_status::not_sent:
+    case store_status::unavailable:
+        for (const auto& claim : batch)
+            settled.push_back(
+                {claim.request, claim_status::unavailable, "", ""});
+        break;
+    case store_status::unknown:
+        for (const auto& claim : batch)
+            read_back(claim);
+        break;
+    }
+    return settled;
+}
+
+void request_claims::read_back(const request_claim& claim)
+{
+    const auto op = context_.next_op(component::requests);
+    reads_.emplace(op, claim);
+    context_.out.emplace_back(store_read{op, table, claim.key});
+}
+
+claim_outcome request_claims::on_read(const store_result& result,
+                                      const request_claim& claim) const
+{
+    claim_outcome outcome{claim.request, claim_status::unavailable, "", ""};
+    if (result.status != store_status::ok || result.rows.empty())
+        return outcome;
+    const auto row = json::parse(result.rows.front().value, nullptr, false);
+    outcome.status = claim_status::held;
+    if (!row.is_object())
+        return outcome;
+    outcome.holder = row.value("host", "");
+    outcome.incarnation = row.value("incarnation", "");
+    if (outcome.incarnation == context_.identity.incarnation &&
+        row.value("claim", "") == claim.claim)
+        outcome.status = claim_status::taken;
+    return outcome;
+}
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/request_queue.cpp
@@ -0,0 +1,142 @@
+#include "request_queue_p.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace carobcourse
+{
+
+namespace
+{
+
+/// Slot time in microseconds that one unit of weight earns in a round.
+constexpr std::int64_t quantum = 1000;
+
+} // namespace
+
+void request_queue::push(const std::string& team, std::int64_t weight,
+                         const queued_request& request)
+{
+    auto& queue = teams_[team];
+    queue.weight = std::max<std::int64_t>(weight, 1);
+    if (queue.services[request.service].insert(request).second)
+        ++queue.size;
+}
+
+void request_queue::remove(const std::string& team,
+                           const queued_request& request)
+{
+    const auto found = teams_.find(team);
+    if (found != teams_.end())
+        erase(found, request);
+}
+
+void request_queue::erase(team_map::iterator team,
+                          const queued_request& request)
+{
+    auto& queue = team->second;
+    const auto service = queue.services.find(request.service);
+    if (service == queue.services.end() || service->second.erase(request) == 0)
+        return;
+    --queue.size;
+    if (service->second.empty())
+        queue.services.erase(service);
+    // A team without waiting requests keeps no claim on later rounds.
+    if (queue.size == 0)
+        teams_.erase(team);
+}
+
+std::size_t request_queue::ahead_of(const std::string& team,
+                                    const std::string& service,
+                                    std::int64_t priority,
+                                    time_point deadline) const
+{
+    const auto found = teams_.find(team);
+    if (found == teams_.end())
+        return 0;
+    const auto waiting = found->second.services.find(service);
+    if (waiting == found->second.services.end())
+        return 0;
+    const auto& last = *waiting->second.rbegin();
+    const bool is_last =
+        std::tie(last.priority, last.deadline) <= std::tie(priority, deadline);
+    return is_last ? waiting->second.size() : 0;
+}
+
+std::size_t request_queue::size(const std::string& team) const
+{
+    const auto found = teams_.find(team);
+    return found == teams_.end() ? 0 : found->second.size;
+}
+
+const queued_request* request_queue::head(const team_queue& queue,
+                                          const service_set& blocked)
+{
+    const queued_request* best = nullptr;
+    for (const auto& [service, waiting] : queue.services)
+    {
+        if (blocked.count(service) == 0 && (!best || *waiting.begin() < *best))
+            best = &*waiting.begin();
+    }
+    return best;
+}
+
+request_queue::team_map::iterator
+request_queue::next_team(const service_set& blocked)
+{
+    std::vector<std::pair<team_map::iterator, std::int64_t>> candidates;
+    const auto add = [&](team_map::iterator begin, team_map::iterator end)
+    {
+        for (auto it = begin; it != end; ++it)
+        {
+            if (const auto* request = head(it->second, blocked))
+                candidates.emplace_back(it, request->cost.count());
+        }
+    };
+    const auto turn = teams_.lower_bound(cursor_);
+    add(turn, teams_.end());
+    add(teams_.begin(), turn);
+    if (candidates.empty())
+        return teams_.end();
+    const auto can_pay = [](const auto& each)
+    { return each.first->second.deficit >= each.second; };
+    auto chosen = std::find_if(candidates.begin(), candidates.end(), can_pay);
+    if (chosen == candidates.end())
+    {
+        // Adds as many whole rounds at once as the nearest team needs.
+        std::int64_t rounds = 0;
+        for (const auto& [team, cost] : candidates)
+        {
+            const auto earns = team->second.weight * quantum;
+            const auto needs =
+                (cost - team->second.deficit + earns - 1) / earns;
+            rounds = rounds == 0 ? needs : std::min(rounds, needs);
+        }
+        for (const auto& [team, cost] : candidates)
+            team->second.deficit += rounds * team->second.weight * quantum;
+        chosen = std::find_if(candidates.begin(), candidates.end(), can_pay);
+    }
+    cursor_ = chosen->first->first;
+    return chosen->first;
+}
+
+void request_queue::drain(const visitor& take)
+{
+    service_set blocked;
+    while (true)
+    {
+        const auto team = next_team(blocked);
+        if (team == teams_.end())
+            return;
+        const auto request = *head(team->second, blocked);
+        if (!take(request))
+        {
+            blocked.insert(request.service);
+            continue;
+        }
+        team->second.deficit -= request.cost.count();
+        erase(team, request);
+    }
+}
+
+} // namespace carobcourse
--- a/src/request_service.cpp
+++ b/src/request_service.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 namespace carobcourse
 {
@@ -10,22 +13,58 @@
 namespace
 {
 
-constexpr std::uint32_t max_attempts = 3;
+constexpr char ticket_mark[] = "tk1.";
+constexpr char ticket_name[] = "t:";
+constexpr char key_name[] = "k:";
+/// Cost of a request in the fair order while nothing was measured.
+constexpr auto default_cost = std::chrono::milliseconds(10);
+/// Weight of a new sample of the service time.
+constexpr double sample_weight = 0.125;
+
+bool starts_with(const std::string& text, const std::string& prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+std::uint64_t fingerprint(const std::string& service, const std::string& body)
+{
+    const auto seed = XXH3_64bits(service.data(), service.size());
+    return XXH3_64bits_withSeed(body.data(), body.size(), seed);
+}
+
+bool is_valid_idempotency_key(const std::string& key)
+{
+    return key.size() <= config::max_idempotency_key_bytes &&
+           std::all_of(key.begin(), key.end(),
+                       [](char c) { return c > ' ' && c <= '~' && c != '/'; });
+}
 
 } // namespace
 
 request_service::request_service(core_context& context,
                                  const config_service& config)
-    : context_(context), config_(config), executors_(context)
+    : context_(context), config_(config), executors_(context), ledger_(context),
+      claims_(context),
+      retry_credit_(config::max_saved_retries * config::requests_per_retry)
 {
 }
 
+// ------------------------------------------------------------------- calls
+
 bool request_service::on_call(time_point now, const api_call& call)
 {
     const std::string prefix = "/v1/services/";
     const std::string suffix = "/requests";
     const auto& path = call.path;
-    if (path.compare(0, prefix.size(), prefix) != 0)
+    if (path == "/v1/tickets")
+    {
+        if (call.method == "POST")
+            issue_ticket(now, call);
+        else
+            context_.refuse(call.id, {result_code::method_not_allowed, ""});
+        return true;
+    }
+    if (!starts_with(path, prefix))
         return false;
     if (path.size() <= prefix.size() + suffix.size() ||
         path.compare(path.size() - suffix.size(), suffix.size(), suffix) != 0)
@@ -39,6 +78,34 @@
     return true;
 }
 
+void request_service::issue_ticket(time_point now, const api_call& call)
+{
+    // A ticket is of no use once its issuer has stopped.
+    if (refuse_from_)
+    {
+        context_.refuse(call.id, {result_code::stopping, ""});
+        return;
+    }
+    if (const auto usable = config_.check_usable(now); !usable)
+    {
+        context_.refuse(call.id, usable.error());
+        return;
+    }
+    const auto team = config_.current().authenticate(call.key);
+    if (!team)
+    {
+        context_.refuse(call.id, team.error());
+        return;
+    }
+    const auto valid =
+        std::chrono::milliseconds(config::ticket_validity).count();
+    context_.counters.count("carobcourse_tickets_issued_total");
+    context_.reply(call.id, 200,
+                   nlohmann::json{{"ticket", ledger_.issue_ticket(now, *team)},
+                                  {"valid_ms", valid}}
+                       .dump());
+}
+
 void request_service::accept(time_point now, const api_call& call,
                              const std::string& service)
 {
@@ -55,127 +122,340 @@
         return;
     }
     request_record request;
-    if (!entry.queue->open)
+    request.from.call = call.id;
+    request.service = service;
+    request.body = call.body;
+    request.accepted_at = now;
+    if (const auto why = check_call(call, request))
     {
-        if (const auto usable = config_.check_usable(now); !usable)
-        {
-            context_.refuse(call.id, usable.error());
-            return;
-        }
-        const auto team = configuration.authenticate(call.key);
+        context_.refuse(call.id, *why);
+        return;
+    }
+    // Names belong to a team, so they need a key on an open queue too.
+    if (!entry.queue->open || !request.name.empty())
+    {
+        const auto team = authorize(call, entry);
         if (!team)
         {
             context_.refuse(call.id, team.error());
             return;
         }
-        const auto& allowed = entry.queue->submitters;
-        if (*team != entry.owner->team &&
-            std::find(allowed.begin(), allowed.end(), *team) == allowed.end())
-        {
-            context_.refuse(call.id, {result_code::key_wrong_team, service});
-            return;
-        }
         request.team = *team;
     }
-    if (!executors_.serves(service))
-    {
-        context_.refuse(call.id, {result_code::no_backend_server, service});
-        return;
-    }
-    auto& queue = queues_[request.team];
-    if (queue.size() >= config::team_queue_capacity)
-    {
-        context_.refuse(call.id, {result_code::team_queue_full, ""});
-        return;
-    }
+    admit(now, std::move(request));
+}
+
+tl::expected<std::string, error>
+request_service::authorize(const api_call& call,
+                           const configuration::service_entry& entry) const
+{
+    auto team = config_.current().authenticate(call.key);
+    if (!team || entry.queue->open || *team == entry.owner->team)
+        return team;
+    const auto& allowed = entry.queue->submitters;
+    if (std::find(allowed.begin(), allowed.end(), *team) == allowed.end())
+        return tl::make_unexpected(
+            error{result_code::key_wrong_team, entry.queue->name});
+    return team;
+}
+
+std::optional<error> request_service::check_call(const api_call& call,
+                                                 request_record& request) const
+{
     std::int64_t deadline_ms =
         std::chrono::milliseconds(config::default_request_deadline).count();
+    const auto most =
+        std::chrono::milliseconds(config::max_request_deadline).count();
     const auto asked = call.query.find("deadline_ms");
     if (asked != call.query.end())
     {
         const auto& text = asked->second;
-        const auto parsed = std::from_chars(
-            text.data(), text.data() + text.size(), deadline_ms);
-        const auto most =
-            std::chrono::milliseconds(config::max_request_deadline).count();
-        if (parsed.ec != std::errc() ||
-            parsed.ptr != text.data() + text.size() || deadline_ms < 1 ||
+        const auto* end = text.data() + text.size();
+        const auto parsed = std::from_chars(text.data(), end, deadline_ms);
+        if (parsed.ec != std::errc() || parsed.ptr != end || deadline_ms < 1 ||
             deadline_ms > most)
+            return error{result_code::bad_request,
+                         fmt::format("deadline_ms must be from 1 to {}", most)};
+    }
+    request.deadline =
+        request.accepted_at + std::chrono::milliseconds(deadline_ms);
+    const auto idempotent = call.query.find("idempotent");
+    request.idempotent =
+        idempotent != call.query.end() && idempotent->second == "true";
+    const auto& key = call.idempotency_key;
+    if (key.empty())
+        return std::nullopt;
+    if (!is_valid_idempotency_key(key))
+        return error{result_code::bad_request,
+                     "Idempotency-Key must be 1 to 128 visible characters "
+                     "without '/'"};
+    const bool is_ticket = starts_with(key, ticket_mark);
+    if (is_ticket && !parse_ticket(key))
+        return error{result_code::ticket_invalid, ""};
+    request.name = (is_ticket ? ticket_name : key_name) + key;
+    return std::nullopt;
+}
+
+void request_service::refuse_early(const request_record& request,
+                                   const error& why)
+{
+    bool may_have_run = false;
+    if (starts_with(request.name, ticket_name))
+    {
+        const auto ticket = parse_ticket(request.name.substr(2));
+        may_have_run = !ledger_.is_own_ticket(*ticket, request.team) ||
+                       ledger_.may_have_run(request.team, request.name);
+    }
+    else if (!request.name.empty())
+    {
+        may_have_run = ledger_.may_have_run(request.team, request.name);
+    }
+    if (may_have_run && info(why.code).ran_state == ran::not_run)
+        refuse(request.from,
+               {result_code::outcome_unknown,
+                fmt::format("not repeated: {}", to_string(why.code))});
+    else
+        refuse(request.from, why);
+}
+
+void request_service::admit(time_point now, request_record request)
+{
+    if (refuse_from_ && now >= *refuse_from_)
+    {
+        refuse_early(request, {result_code::stopping, ""});
+        return;
+    }
+    if (!request.team.empty())
+    {
+        if (const auto usable = config_.check_usable(now); !usable)
         {
-            context_.refuse(
-                call.id,
-                {result_code::bad_request,
-                 fmt::format("deadline_ms must be from 1 to {}", most)});
+            refuse_early(request, usable.error());
             return;
         }
     }
-    const auto idempotent = call.query.find("idempotent");
+    std::string claim;
+    if (!request.name.empty())
+    {
+        if (!check_ticket(now, request))
+            return;
+        const auto begun = begin(now, request);
+        if (!begun)
+            return;
+        claim = *begun;
+    }
+    if (const auto why = check_room(now, request))
+    {
+        ledger_.mark_not_run(request.team, request.name);
+        refuse(request.from, *why);
+        return;
+    }
+    const auto entry = config_.current().find_service(request.service);
+    request.priority = entry.queue ? entry.queue->priority : 0;
+    request.sequence = ++sequence_;
     request.id = fmt::format("{}-{}-{}", context_.identity.host,
-                             context_.identity.incarnation, ++sequence_);
-    request.call = call.id;
-    request.service = service;
-    request.body = call.body;
-    request.idempotent =
-        idempotent != call.query.end() && idempotent->second == "true";
-    request.accepted_at = now;
-    request.deadline = now + std::chrono::milliseconds(deadline_ms);
-    queue.push_back(request.id);
-    requests_.emplace(request.id, std::move(request));
+                             context_.identity.incarnation, request.sequence);
+    request.cost =
+        std::max(expected_time(now, request.service).value_or(default_cost),
+                 duration(1));
+    request.now = stage::claiming;
+    ++waiting_[request.team];
+    deadlines_.emplace(request.deadline, request.id);
+    if (request.from.peer.empty())
+        calls_[request.from.call] = request.id;
+    else
+        forwarded_here_.emplace(request.from.origin, request.from.forward);
+    retry_credit_ = std::min(retry_credit_ + 1, config::max_saved_retries *
+                                                    config::requests_per_retry);
     context_.counters.count("carobcourse_requests_accepted_total");
+    const auto id = request.id;
+    auto& accepted = requests_.emplace(id, std::move(request)).first->second;
+    if (starts_with(accepted.name, key_name))
+    {
+        claims_.add({id, accepted.team + "/" + accepted.name.substr(2), claim});
+        claims_.flush();
+        return;
+    }
+    enqueue(accepted);
     dispatch(now);
 }
 
-void request_service::on_hosts(time_point now,
-                               const std::vector<host_entry>& hosts)
+bool request_service::check_ticket(time_point now,
+                                   const request_record& request)
 {
-    executors_.update_hosts(hosts);
-    dispatch(now);
+    const bool known = ledger_.contains(request.team, request.name);
+    if (!starts_with(request.name, ticket_name))
+    {
+        // A key is forwarded to the holder of its row. If the holder does not
+        // know it any more, its answer was dropped.
+        if (!request.forwarded || known)
+            return true;
+        refuse(request.from, {result_code::outcome_unknown, "not recorded"});
+        return false;
+    }
+    const auto ticket = parse_ticket(request.name.substr(2));
+    if (ticket->incarnation != context_.identity.incarnation)
+    {
+        if (request.forwarded || ticket->host == context_.identity.host)
+            refuse(request.from, {result_code::outcome_unknown,
+                                  "the host that issued the ticket is gone"});
+        else
+            send_forward(now, request, ticket->host);
+        return false;
+    }
+    if (!ledger_.is_own_ticket(*ticket, request.team))
+    {
+        refuse(request.from, {result_code::ticket_invalid, ""});
+        return false;
+    }
+    // An entry may have been dropped from the expiry of its ticket on.
+    if (!known && now >= request_ledger::expiry_of(*ticket))
+    {
+        refuse(request.from,
+               {result_code::outcome_unknown, "the ticket has expired"});
+        return false;
+    }
+    return true;
 }
 
-void request_service::on_tick(time_point now)
+std::optional<std::string> request_service::begin(time_point now,
+                                                  const request_record& request)
 {
-    expire(now);
-    dispatch(now);
+    auto expires = now + config::idempotency_memory;
+    if (starts_with(request.name, ticket_name))
+        expires =
+            request_ledger::expiry_of(*parse_ticket(request.name.substr(2)));
+    const auto begun =
+        ledger_.begin(request.team, request.name,
+                      fingerprint(request.service, request.body), expires);
+    switch (begun.verdict)
+    {
+    case ledger_verdict::fresh:
+        return begun.claim;
+    case ledger_verdict::recorded:
+        context_.counters.count("carobcourse_repeats_answered_total");
+        answer(request.from, begun.answer->http_status,
+               begun.answer->content_type, begun.answer->body);
+        break;
+    case ledger_verdict::in_progress:
+        refuse(request.from, {result_code::request_in_progress, ""});
+        break;
+    case ledger_verdict::unknown:
+        refuse(request.from, {result_code::outcome_unknown, ""});
+        break;
+    case ledger_verdict::mismatch:
+        refuse(request.from, {result_code::idempotency_mismatch, ""});
+        break;
+    case ledger_verdict::full:
+        refuse(request.from, {result_code::ledger_full, ""});
+        break;
+    }
+    return std::nullopt;
 }
 
-void request_service::expire(time_point now)
+std::optional<error>
+request_service::check_room(time_point now, const request_record& request) const
+{
+    if (!executors_.serves(request.service))
+        return error{result_code::no_backend_server, request.service};
+    const auto waiting = waiting_.find(request.team);
+    if (waiting != waiting_.end() &&
+        waiting->second >= config::team_queue_capacity)
+        return error{result_code::team_queue_full, ""};
+    const auto expected = expected_time(now, request.service);
+    if (!expected)
+        return std::nullopt;
+    const auto entry = config_.current().find_service(request.service);
+    const auto ahead = queue_.ahead_of(request.team, request.service,
+                                       entry.queue ? entry.queue->priority : 0,
+                                       request.deadline);
+    const auto rounds = static_cast<std::int64_t>(
+        1 + ahead / executors_.usable_slots(now, request.service));
+    if (now + *expected * rounds <= request.deadline)
+        return std::nullopt;
+    return error{
+        result_code::deadline_unreachable,
+        fmt::format("expected to take {} ms",
+                    std::chrono::duration_cast<std::chrono::milliseconds>(
+                        *expected * rounds)
+                        .count())};
+}
+
+std::int64_t request_service::weight_of(const std::string& team) const
+{
+    const auto* document =
+        team.empty() ? nullptr : config_.current().find_team(team);
+    return document ? document->weight : 1;
+}
+
+// ------------------------------------------------------------------- queue
+
+queued_request request_service::queue_item(const request_record& request) const
 {
-    std::vector<std::string> overdue;
-    for (const auto& [id, request] : requests_)
+    return {request.priority, request.deadline, request.sequence,
+            request.id,       request.service,  request.cost};
+}
+
+void request_service::set_stage(request_record& request, stage next)
+{
+    const auto waits = [](stage s)
+    { return s != stage::in_flight && s != stage::ended; };
+    if (waits(request.now) && !waits(next))
+    {
+        const auto found = waiting_.find(request.team);
+        if (--found->second == 0)
+            waiting_.erase(found);
+    }
+    else if (!waits(request.now) && waits(next))
     {
-        if (now >= request.deadline && !request.in_flight)
-            overdue.push_back(id);
+        ++waiting_[request.team];
     }
-    for (const auto& id : overdue)
-        refuse(id, {result_code::deadline_unreachable, ""});
+    request.now = next;
+}
+
+void request_service::enqueue(request_record& request)
+{
+    set_stage(request, stage::queued);
+    queue_.push(request.team, weight_of(request.team), queue_item(request));
 }
 
 void request_service::dispatch(time_point now)
 {
-    for (auto& [team, queue] : queues_)
+    while (!delayed_.empty() && delayed_.begin()->first <= now)
     {
-        while (!queue.empty())
-        {
-            const auto found = requests_.find(queue.front());
-            if (found == requests_.end())
-            {
-                queue.pop_front();
-                continue;
-            }
-            const auto executor = executors_.acquire(found->second.service);
-            if (!executor)
-                break;
-            queue.pop_front();
-            send(now, found->second, *executor);
-        }
+        const auto id = delayed_.begin()->second;
+        delayed_.erase(delayed_.begin());
+        enqueue(requests_.at(id));
     }
+    queue_.drain([this, now](const queued_request& item)
+                 { return offer(now, item); });
 }
 
-void request_service::send(time_point, request_record& request,
+bool request_service::offer(time_point now, const queued_request& item)
+{
+    auto& request = requests_.at(item.id);
+    const auto expected = expected_time(now, request.service);
+    if (now + expected.value_or(duration(1)) > request.deadline)
+    {
+        set_stage(request, stage::ended);
+        refuse(request, {result_code::deadline_unreachable, ""});
+        return true;
+    }
+    const auto executor = executors_.acquire(
+        now, {request.id, request.attempt + 1, request.service,
+              request.last_executor, request.idempotent});
+    if (!executor)
+        return false;
+    send(now, request, *executor);
+    return true;
+}
+
+void request_service::send(time_point now, request_record& request,
                            const executor_choice& executor)
 {
-    request.in_flight = true;
+    set_stage(request, stage::in_flight);
     ++request.attempt;
+    request.sent_at = now;
+    request.last_executor = executor.executor;
     execute_request out;
     out.request = request.id;
     out.attempt = request.attempt;
@@ -187,72 +467,266 @@
     context_.out.emplace_back(std::move(out));
 }
 
+void request_service::expire(time_point now)
+{
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now)
+    {
+        auto& request = requests_.at(deadlines_.begin()->second);
+        refuse(request, {result_code::deadline_unreachable, ""});
+    }
+    while (!forward_deadlines_.empty() &&
+           forward_deadlines_.begin()->first <= now)
+        fail_forward(forward_deadlines_.begin()->second);
+}
+
+void request_service::measure(time_point now, const request_record& request)
+{
+    auto& known = service_times_[request.service];
+    const auto taken = static_cast<double>((now - request.sent_at).count());
+    if (known.samples == 0 || now - known.last > config::service_time_validity)
+        known = {taken, 0, now};
+    known.mean_us += sample_weight * (taken - known.mean_us);
+    known.last = now;
+    ++known.samples;
+}
+
+std::optional<duration>
+request_service::expected_time(time_point now, const std::string& service) const
+{
+    // An old measurement is not used, or a slow spell would refuse all
+    // requests with short deadlines and so never be measured again.
+    const auto found = service_times_.find(service);
+    if (found == service_times_.end() ||
+        found->second.samples < config::service_time_samples ||
+        now - found->second.last > config::service_time_validity)
+        return std::nullopt;
+    return duration(static_cast<std::int64_t>(found->second.mean_us));
+}
+
+// ------------------------------------------------------------------ results
+
 void request_service::on_execute_result(time_point now,
                                         const execute_result& result)
 {
-    executors_.release(result);
     const auto found = requests_.find(result.request);
-    if (found == requests_.end() || !found->second.in_flight ||
-        found->second.attempt != result.attempt)
+    const bool is_current = found != requests_.end() &&
+                            found->second.now == stage::in_flight &&
+                            found->second.attempt == result.attempt;
+    const bool timed_out = !is_current || now >= found->second.deadline;
+    const bool outstanding = executors_.release(now, result, timed_out);
+    if (!outstanding || !is_current)
     {
-        context_.counters.count("carobcourse_late_answers_total");
+        context_.counters.count("carobcourse_answers_dropped_total",
+                                outstanding ? "late" : "duplicate");
         dispatch(now);
         return;
     }
     auto& request = found->second;
     const bool own_answer = result.answered_request == request.id &&
                             result.answered_attempt == request.attempt;
-    if (result.status == send_status::answered && own_answer)
+    if (result.no_slot)
+    {
+        // The pause of that server limits how often this happens.
+        context_.counters.count_retry("no_slot");
+        enqueue(request);
+    }
+    else if (result.status == send_status::answered && own_answer)
     {
+        measure(now, request);
         context_.counters.observe("carobcourse_request_seconds",
                                   now - request.accepted_at);
-        finish(request.id, result.http_status, result.content_type,
-               result.body);
-        dispatch(now);
-        return;
+        finish(request, result);
     }
-    const bool certain = result.status == send_status::not_sent;
-    if ((certain || request.idempotent) && request.attempt < max_attempts &&
-        now < request.deadline)
+    else
     {
-        context_.counters.count_retry(certain ? "not_sent" : "no_answer");
-        request.in_flight = false;
-        queues_[request.team].push_front(request.id);
+        if (result.status == send_status::answered)
+        {
+            context_.counters.count("carobcourse_answers_dropped_total",
+                                    "foreign");
+            context_.log(log_code::answer_dropped, request.id);
+        }
+        on_failed_attempt(now, request, result.status == send_status::not_sent);
     }
-    else if (certain)
+    dispatch(now);
+}
+
+void request_service::on_failed_attempt(time_point now, request_record& request,
+                                        bool is_certain)
+{
+    ++request.failed_attempts;
+    request.may_have_run = request.may_have_run || !is_certain;
+    // From here on the attempt no longer counts; only `may_have_run` does.
+    set_stage(request, stage::delayed);
+    if (request.may_have_run && !request.idempotent)
     {
-        refuse(request.id, {result_code::backend_unreachable, ""});
+        refuse(request, {result_code::outcome_unknown, ""});
+        return;
     }
-    else
+    if (request.failed_attempts >= config::max_failed_attempts)
     {
-        context_.log(log_code::request_unknown, request.id);
-        refuse(request.id, {result_code::outcome_unknown, ""});
+        refuse(request, {result_code::backend_unreachable, ""});
+        return;
     }
+    if (!take_retry())
+    {
+        refuse(request, {result_code::retry_budget_spent, ""});
+        return;
+    }
+    context_.counters.count_retry(is_certain ? "not_sent" : "no_answer");
+    std::uniform_real_distribution<double> jitter(0.5, 1.5);
+    const auto wait = duration(config::retry_backoff) *
+                      (1U << (request.failed_attempts - 1)) *
+                      jitter(context_.random);
+    request.ready_at = now + std::chrono::duration_cast<duration>(wait);
+    delayed_.emplace(request.ready_at, request.id);
+}
+
+bool request_service::take_retry()
+{
+    if (retry_credit_ < config::requests_per_retry)
+        return false;
+    retry_credit_ -= config::requests_per_retry;
+    return true;
+}
+
+void request_service::on_tick(time_point now)
+{
+    expire(now);
+    ledger_.expire(now);
+    claims_.flush();
     dispatch(now);
 }
 
-bool request_service::on_store_result(time_point, const store_result&)
+void request_service::on_hosts(time_point now,
+                               const std::vector<host_entry>& hosts)
 {
-    return false;
+    executors_.update_hosts(now, hosts);
+    dispatch(now);
 }
 
-void request_service::on_call_abandoned(const call_abandoned&) {}
+void request_service::on_store_result(time_point now,
+                                      const store_result& result)
+{
+    for (const auto& outcome : claims_.on_store_result(result))
+        on_claim(now, outcome);
+    claims_.flush();
+    dispatch(now);
+}
 
-void request_service::finish(const std::string& id, int http_status,
-                             const std::string& content_type,
-                             const std::string& body)
+void request_service::on_claim(time_point now, const claim_outcome& outcome)
 {
-    const auto found = requests_.find(id);
-    context_.out.emplace_back(
-        api_reply{found->second.call, http_status, content_type, body});
-    requests_.erase(found);
+    const auto found = requests_.find(outcome.request);
+    if (found == requests_.end() || found->second.now != stage::claiming)
+        return;
+    auto& request = found->second;
+    switch (outcome.status)
+    {
+    case claim_status::taken:
+        enqueue(request);
+        break;
+    case claim_status::held:
+        if (request.forwarded || outcome.holder.empty() ||
+            outcome.holder == context_.identity.host)
+        {
+            refuse(request, {result_code::outcome_unknown,
+                             "taken by a host that is gone"});
+            break;
+        }
+        ledger_.mark_not_run(request.team, request.name);
+        send_forward(now, request, outcome.holder);
+        remove(request);
+        break;
+    case claim_status::unavailable:
+        refuse(request, {result_code::store_unavailable,
+                         "a ticket from POST /v1/tickets needs no table"});
+        break;
+    }
+}
+
+void request_service::on_call_abandoned(const call_abandoned& call)
+{
+    for (auto& [id, forward] : forwards_)
+        forward.abandoned = forward.abandoned || forward.call == call.id;
+    const auto found = calls_.find(call.id);
+    if (found == calls_.end())
+        return;
+    auto& request = requests_.at(found->second);
+    request.abandoned = true;
+    context_.counters.count("carobcourse_calls_abandoned_total");
+    // A named request goes on, as its caller may come back for the answer.
+    if (request.now != stage::in_flight && request.name.empty())
+        remove(request);
+}
+
+// --------------------------------------------------------------------- stop
+
+void request_service::stop(time_point refuse_from)
+{
+    refuse_from_ = refuse_from;
+}
+
+std::size_t request_service::cut()
+{
+    const auto count = requests_.size() + forwards_.size();
+    while (!requests_.empty())
+        refuse(requests_.begin()->second, {result_code::stopping, ""});
+    while (!forwards_.empty())
+        fail_forward(forwards_.begin()->first);
+    return count;
+}
+
+// ------------------------------------------------------------------ answers
+
+void request_service::finish(request_record& request,
+                             const execute_result& result)
+{
+    if (!request.name.empty())
+        ledger_.record(request.team, request.name,
+                       {result.http_status, result.content_type, result.body});
+    if (!request.abandoned)
+        answer(request.from, result.http_status, result.content_type,
+               result.body);
+    remove(request);
 }
 
-void request_service::refuse(const std::string& id, const error& why)
+void request_service::refuse(request_record& request, error why)
 {
-    const auto found = requests_.find(id);
-    context_.refuse(found->second.call, why);
+    if ((request.may_have_run || request.now == stage::in_flight) &&
+        info(why.code).ran_state == ran::not_run)
+        why = {result_code::outcome_unknown, to_string(why.code)};
+    const bool not_run = info(why.code).ran_state == ran::not_run;
+    if (!not_run)
+        context_.log(log_code::request_unknown, request.id);
+    if (not_run)
+        ledger_.mark_not_run(request.team, request.name);
+    else
+        ledger_.mark_unknown(request.team, request.name);
+    if (!request.abandoned)
+        refuse(request.from, why);
+    remove(request);
+}
+
+void request_service::remove(const request_record& request)
+{
+    const auto found = requests_.find(request.id);
+    auto& record = found->second;
+    if (record.now == stage::queued)
+        queue_.remove(record.team, queue_item(record));
+    if (record.now == stage::delayed)
+        delayed_.erase({record.ready_at, record.id});
+    set_stage(record, stage::ended);
+    deadlines_.erase({record.deadline, record.id});
+    if (record.from.peer.empty())
+        calls_.erase(record.from.call);
+    else
+        forwarded_here_.erase({record.from.origin, record.from.forward});
     requests_.erase(found);
 }
 
+void request_service::refuse(const answer_address& to, const error& why)
+{
+    context_.counters.count_refusal(why.code);
+    answer(to, info(why.code).http_status, "application/json", error_body(why));
+}
+
 } // namespace carobcourse
--- /dev/null
+++ b/src/request_service_forward.cpp
@@ -0,0 +1,177 @@
+// Requests whose ticket or idempotency key another entry host holds.
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+#include "request_service_p.hpp"
+
+namespace carobcourse
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr std::size_t base64_text_group = 4;
+constexpr std::size_t base64_byte_group = 3;
+
+/// Bodies are any bytes, JSON text is UTF-8.
+std::string to_base64(const std::string& bytes)
+{
+    std::string text(base64_text_group * ((bytes.size() + 2) / 3) + 1, '\0');
+    const auto length =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                        reinterpret_cast<const unsigned char*>(bytes.data()),
+                        static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+std::optional<std::string> from_base64(const std::string& text)
+{
+    if (text.size() % base64_text_group != 0)
+        return std::nullopt;
+    std::string bytes(base64_byte_group * (text.size() / base64_text_group),
+                      '\0');
+    const auto length =
+        EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                        reinterpret_cast<const unsigned char*>(text.data()),
+                        static_cast<int>(text.size()));
+    if (length < 0)
+        return std::nullopt;
+    // The decoder counts the padding as zero bytes.
+    auto padding = std::size_t{0};
+    while (padding < 2 && padding < text.size() &&
+           text[text.size() - 1 - padding] == '=')
+        ++padding;
+    bytes.resize(static_cast<std::size_t>(length) - padding);
+    return bytes;
+}
+
+} // namespace
+
+bool request_service::on_peer(time_point now, const peer_received& message)
+{
+    if (message.type != "forward_request" && message.type != "forward_answer")
+        return false;
+    try
+    {
+        if (message.type == "forward_request")
+            on_forward_request(now, message);
+        else
+            on_forward_answer(message);
+    }
+    catch (const json::exception&)
+    {
+        context_.counters.count("carobcourse_forwards_malformed_total");
+    }
+    return true;
+}
+
+void request_service::send_forward(time_point now,
+                                   const request_record& request,
+                                   const std::string& host)
+{
+    const auto id = ++forward_sequence_;
+    forwards_[id] =
+        forward{request.from.call, host, request.abandoned, request.deadline};
+    forward_deadlines_.emplace(request.deadline, id);
+    context_.counters.count("carobcourse_requests_forwarded_total");
+    context_.out.emplace_back(
+        peer_send{host, "forward_request",
+                  json{{"id", id},
+                       {"origin", context_.identity.incarnation},
+                       {"team", request.team},
+                       {"service", request.service},
+                       {"name", request.name},
+                       {"idempotent", request.idempotent},
+                       {"remaining_ms", remaining_ms(now, request.deadline)},
+                       {"body", to_base64(request.body)}}
+                      .dump()});
+}
+
+void request_service::on_forward_request(time_point now,
+                                         const peer_received& message)
+{
+    const auto value = json::parse(message.body);
+    request_record request;
+    request.from.peer = message.from;
+    request.from.origin = value.at("origin").get<std::string>();
+    request.from.forward = value.at("id").get<std::uint64_t>();
+    // The same forward may be delivered twice.
+    if (forwarded_here_.count({request.from.origin, request.from.forward}))
+        return;
+    request.team = value.at("team").get<std::string>();
+    request.service = value.at("service").get<std::string>();
+    request.name = value.at("name").get<std::string>();
+    request.idempotent = value.at("idempotent").get<bool>();
+    request.forwarded = true;
+    request.accepted_at = now;
+    request.deadline =
+        now +
+        std::chrono::milliseconds(std::min<std::int64_t>(
+            value.at("remaining_ms").get<std::int64_t>(),
+            std::chrono::milliseconds(config::max_request_deadline).count()));
+    const auto body = from_base64(value.at("body").get<std::string>());
+    const bool is_ticket = request.name.rfind("t:", 0) == 0;
+    if (!body || request.team.empty() || request.name.size() < 3 ||
+        (is_ticket && !parse_ticket(request.name.substr(2))))
+    {
+        context_.counters.count("carobcourse_forwards_malformed_total");
+        return;
+    }
+    request.body = *body;
+    // The forwarding host checked the caller's key against this service.
+    admit(now, std::move(request));
+}
+
+void request_service::on_forward_answer(const peer_received& message)
+{
+    const auto value = json::parse(message.body);
+    const auto found = forwards_.find(value.at("id").get<std::uint64_t>());
+    const auto body = from_base64(value.at("body").get<std::string>());
+    if (value.at("origin") != context_.identity.incarnation ||
+        found == forwards_.end() || found->second.to != message.from || !body)
+    {
+        context_.counters.count("carobcourse_answers_dropped_total", "forward");
+        return;
+    }
+    if (!found->second.abandoned)
+        context_.out.emplace_back(
+            api_reply{found->second.call, value.at("status").get<int>(),
+                      value.at("content_type").get<std::string>(), *body});
+    forward_deadlines_.erase({found->second.deadline, found->first});
+    forwards_.erase(found);
+}
+
+void request_service::fail_forward(std::uint64_t id)
+{
+    const auto found = forwards_.find(id);
+    const auto forward = found->second;
+    forward_deadlines_.erase({forward.deadline, id});
+    forwards_.erase(found);
+    if (!forward.abandoned)
+        context_.refuse(forward.call, {result_code::outcome_unknown,
+                                       "no answer from " + forward.to});
+}
+
+void request_service::answer(const answer_address& to, int http_status,
+                             const std::string& content_type,
+                             const std::string& body)
+{
+    if (to.peer.empty())
+    {
+        context_.out.emplace_back(
+            api_reply{to.call, http_status, content_type, body});
+        return;
+    }
+    context_.out.emplace_back(peer_send{to.peer, "forward_answer",
+                                        json{{"id", to.forward},
+                                             {"origin", to.origin},
+                                             {"status", http_status},
+                                             {"content_type", content_type},
+                                             {"body", to_base64(body)}}
+                                            .dump()});
+}
+
+} // namespace carobcourse
--- a/src/request_service_p.hpp
+++ b/src/request_service_p.hpp
@@ -3,20 +3,27 @@
 
 #include <carobcourse/types.hpp>
 #include <cstdint>
-#include <deque>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "config_service_p.hpp"
 #include "core_context_p.hpp"
 #include "executor_pool_p.hpp"
+#include "request_claims_p.hpp"
+#include "request_ledger_p.hpp"
+#include "request_queue_p.hpp"
 
 namespace carobcourse
 {
 
 /// Queues requests, sends them to backend servers and answers the callers.
-/// Not thread safe.
+/// Rules: each accepted request is answered exactly once; a refusal that
+/// says "not run" is given only while nothing can have reached a server; a
+/// request under a ticket or idempotency key runs at most once. Not thread
+/// safe.
 class request_service
 {
 public:
@@ -25,49 +32,156 @@
     void on_tick(time_point now);
     void on_hosts(time_point now, const std::vector<host_entry>& hosts);
     void on_execute_result(time_point now, const execute_result& result);
-    /// Returns true when the result was for this part.
-    bool on_store_result(time_point now, const store_result& result);
+    void on_store_result(time_point now, const store_result& result);
     void on_call_abandoned(const call_abandoned& call);
+    /// Handles messages of the types `forward_request` and `forward_answer`.
+    /// Returns false for other types.
+    bool on_peer(time_point now, const peer_received& message);
     /// Handles calls on services and tickets. Returns false for other paths.
     bool on_call(time_point now, const api_call& call);
 
+    /// Begins the planned stop: requests are refused from `refuse_from` on.
+    void stop(time_point refuse_from);
+    /// Answers whatever still waits, at the drain deadline.
+    /// Returns the number of answers.
+    std::size_t cut();
+
     /// True when no accepted request waits for its answer.
     bool is_drained() const
     {
-        return requests_.empty();
+        return requests_.empty() && forwards_.empty();
     }
 
 private:
+    /// Where an answer goes: a caller, or the host that forwarded for one.
+    struct answer_address
+    {
+        call_id call = 0;
+        std::string peer;   ///< Empty for a caller of this host.
+        std::string origin; ///< Incarnation of the peer.
+        std::uint64_t forward = 0;
+    };
+
+    enum class stage : std::uint8_t
+    {
+        claiming, ///< Its row in the table is being inserted.
+        queued,
+        delayed, ///< Waits before a retry.
+        in_flight,
+        ended
+    };
+
     struct request_record
     {
         std::string id;
-        call_id call = 0;
-        std::string team; ///< Empty for an open queue.
+        answer_address from;
+        bool abandoned = false; ///< Nobody waits for the answer.
+        std::string team;       ///< Empty for an open queue.
         std::string service;
         std::string body;
+        /// Ticket or idempotency key with a prefix, or empty.
+        std::string name;
+        bool forwarded = false;
         bool idempotent = false;
+        std::int64_t priority = 0;
+        std::uint64_t sequence = 0;
         time_point accepted_at;
         time_point deadline;
+        stage now = stage::queued;
+        duration cost{1};
         std::uint32_t attempt = 0;
-        bool in_flight = false;
+        std::uint32_t failed_attempts = 0;
+        bool may_have_run = false;
+        time_point sent_at;
+        time_point ready_at;
+        std::string last_executor;
     };
 
+    struct forward
+    {
+        call_id call = 0;
+        std::string to;
+        bool abandoned = false;
+        time_point deadline;
+    };
+
+    struct service_time
+    {
+        double mean_us = 0;
+        std::uint32_t samples = 0;
+        time_point last;
+    };
+
+    void issue_ticket(time_point now, const api_call& call);
     void accept(time_point now, const api_call& call,
                 const std::string& service);
+    tl::expected<std::string, error>
+    authorize(const api_call& call,
+              const configuration::service_entry& entry) const;
+    std::optional<error> check_call(const api_call& call,
+                                    request_record& request) const;
+    void admit(time_point now, request_record request);
+    bool check_ticket(time_point now, const request_record& request);
+    /// Refuses what was not accepted. A repeat of what may have run is never
+    /// told "not run".
+    void refuse_early(const request_record& request, const error& why);
+    /// Returns nothing when the request was answered as a repeat.
+    std::optional<std::string> begin(time_point now,
+                                     const request_record& request);
+    std::optional<error> check_room(time_point now,
+                                    const request_record& request) const;
+    std::int64_t weight_of(const std::string& team) const;
+
+    void set_stage(request_record& request, stage next);
+    void enqueue(request_record& request);
     void dispatch(time_point now);
+    bool offer(time_point now, const queued_request& item);
     void send(time_point now, request_record& request,
               const executor_choice& executor);
+    void on_failed_attempt(time_point now, request_record& request,
+                           bool is_certain);
+    bool take_retry();
     void expire(time_point now);
-    void finish(const std::string& id, int http_status,
+    void measure(time_point now, const request_record& request);
+    std::optional<duration> expected_time(time_point now,
+                                          const std::string& service) const;
+
+    void on_claim(time_point now, const claim_outcome& outcome);
+    void send_forward(time_point now, const request_record& request,
+                      const std::string& host);
+    void on_forward_request(time_point now, const peer_received& message);
+    void on_forward_answer(const peer_received& message);
+    void fail_forward(std::uint64_t id);
+
+    void finish(request_record& request, const execute_result& result);
+    void refuse(request_record& request, error why);
+    void remove(const request_record& request);
+    queued_request queue_item(const request_record& request) const;
+
+    void answer(const answer_address& to, int http_status,
                 const std::string& content_type, const std::string& body);
-    void refuse(const std::string& id, const error& why);
+    void refuse(const answer_address& to, const error& why);
 
     core_context& context_;
     const config_service& config_;
     executor_pool executors_;
+    request_ledger ledger_;
+    request_claims claims_;
+    request_queue queue_;
     std::map<std::string, request_record> requests_;
-    std::map<std::string, std::deque<std::string>> queues_; ///< By team.
+    std::map<std::string, std::size_t> waiting_; ///< By team, not in flight.
+    std::map<call_id, std::string> calls_;
+    std::set<std::pair<time_point, std::string>> deadlines_;
+    std::set<std::pair<time_point, std::string>> delayed_;
+    std::map<std::uint64_t, forward> forwards_;
+    std::set<std::pair<time_point, std::uint64_t>> forward_deadlines_;
+    /// Forwards of peers that are being handled: origin and number.
+    std::set<std::pair<std::string, std::uint64_t>> forwarded_here_;
+    std::map<std::string, service_time> service_times_;
     std::uint64_t sequence_ = 0;
+    std::uint64_t forward_sequence_ = 0;
+    std::uint32_t retry_credit_;
+    std::optional<time_point> refuse_from_;
 };
 
 } // namespace carobcourse
--- a/src/shell_platform.cpp
+++ b/src/shell_platform.cpp
@@ -110,6 +110,19 @@
     }
 }
 
+/// True for a server's own refusal: status 503 and the body
+/// `{"error": "no slot"}`. Any other 503 may come from a part that did pass
+/// the request on.
+bool is_no_slot(const http_response& response)
+{
+    if (response.status != send_status::answered ||
+        response.http_status != http_unavailable)
+        return false;
+    const auto body = json::parse(response.body, nullptr, false);
+    return body.is_object() && body.contains("error") &&
+           body["error"] == "no slot";
+}
+
 template <class Number>
 Number header_number(const http_response& response, const char* name)
 {
@@ -298,6 +311,7 @@
             result.leaving = header_text(response, "x-leaving") == "true";
             result.content_type = header_text(response, "content-type");
             result.body = response.body;
+            result.no_slot = is_no_slot(response);
             sink_(std::move(result));
         });
 }
--- a/tests/core_harness.hpp
+++ b/tests/core_harness.hpp
@@ -180,6 +180,13 @@
         }
     }
 
+    /// Links two hosts without waiting for their membership.
+    void connect(const std::string& a, const std::string& b)
+    {
+        hosts_.at(a).peers.insert(b);
+        hosts_.at(b).peers.insert(a);
+    }
+
     /// Cuts a host off from the whole platform: table and host list.
     void set_platform_cut(const std::string& host, bool cut)
     {
@@ -712,6 +719,7 @@
                {
                    result.http_status = 503;
                    result.body = R"({"error":"no slot"})";
+                   result.no_slot = true;
                    deliver_after(latency(), id, result);
                    return;
                }
--- /dev/null
+++ b/tests/test_request_once.cpp
@@ -0,0 +1,271 @@
+// A request under a ticket or an idempotency key runs at most once.
+#include "request_cell.hpp"
+
+using namespace carobcourse;
+using namespace carobcourse::test;
+
+TEST_CASE("a ticket runs its request once and answers repeats, without a store")
+{
+    // Guards against a second booking when a caller repeats its call, and
+    // against tickets that stop working with the table service.
+    request_cell cell(1);
+    const auto ticket = cell.ticket("north-1");
+    cell.store.down = true;
+    const auto writes = cell.store_writes;
+    const auto first = cell.wait(cell.request("north-1", "slot-1", {ticket}));
+    CHECK(first.http_status == 200);
+    const auto again = cell.wait(cell.request("north-1", "slot-1", {ticket}));
+    CHECK(again.http_status == 200);
+    CHECK(again.body == first.body);
+    CHECK(cell.runs_of("slot-1") == 1);
+    CHECK(cell.store_writes == writes);
+}
+
+TEST_CASE("a repeat of a running ticket is told that it runs")
+{
+    // Guards against a second dispatch while the first has no answer yet.
+    request_cell cell(2);
+    cell.service_time = 500ms;
+    const auto ticket = cell.ticket("north-1");
+    const auto first = cell.request("north-1", "slot-1", {ticket});
+    cell.run_for(100ms);
+    const auto repeat = cell.wait(cell.request("north-1", "slot-1", {ticket}));
+    CHECK(fake_cell::error_code(repeat) == "CC-1301");
+    CHECK(cell.wait(first).http_status == 200);
+    CHECK(cell.runs_of("slot-1") == 1);
+}
+
+TEST_CASE("a ticket is bound to its team and to one request")
+{
+    // Guards against one team reading or blocking another's request, and
+    // against the answer to another request (I6).
+    request_cell cell(3);
+    CHECK(cell.call("north-1", "POST", "/v1/tickets").http_status == 401);
+    CHECK(cell.call("north-1", "POST", "/v1/tickets", "wrong").http_status ==
+          403);
+    const auto ticket = cell.ticket("north-1");
+    const auto stolen = cell.wait(cell.request_as(
+        cell.other_key, "north-1", "slot-1", {ticket}, "availability"));
+    CHECK(fake_cell::error_code(stolen) == "CC-1304");
+    CHECK(cell.wait(cell.request("north-1", "slot-1", {ticket})).http_status ==
+          200);
+    const auto other = cell.wait(cell.request("north-1", "slot-2", {ticket}));
+    CHECK(fake_cell::error_code(other) == "CC-1303");
+    const auto forged =
+        cell.wait(cell.request("north-1", "slot-3", {ticket + "0"}));
+    CHECK(fake_cell::error_code(forged) == "CC-1304");
+    CHECK(cell.executions.size() == 1);
+}
+
+TEST_CASE("a lost answer stays unknown for every repeat")
+{
+    // Guards against running a request again whose answer was lost.
+    request_cell cell(4);
+    for (const auto* e : {"e1", "e2"})
+        cell.executor_faults[e].lose_replies = 1;
+    const auto name = GENERATE(std::string("ticket"), std::string("own-key"));
+    const auto used = name == "ticket" ? cell.ticket("north-1") : name;
+    const auto first =
+        cell.wait(cell.request("north-1", "slot-1", {used, 500}));
+    CHECK(fake_cell::error_code(first) == "CC-1302");
+    for (int i = 0; i < 3; ++i)
+    {
+        const auto repeat =
+            cell.wait(cell.request("north-1", "slot-1", {used}));
+        CHECK(fake_cell::error_code(repeat) == "CC-1302");
+    }
+    CHECK(cell.runs_of("slot-1") == 1);
+}
+
+TEST_CASE("an expired ticket is not taken for a new request")
+{
+    // Guards against a second run after the ledger dropped the entry.
+    request_cell cell(5);
+    const auto ticket = cell.ticket("north-1");
+    CHECK(cell.wait(cell.request("north-1", "slot-1", {ticket})).http_status ==
+          200);
+    cell.run_for(config::ticket_validity + 30s);
+    const auto repeat = cell.wait(cell.request("north-1", "slot-1", {ticket}));
+    CHECK(fake_cell::error_code(repeat) == "CC-1302");
+    CHECK(cell.runs_of("slot-1") == 1);
+}
+
+TEST_CASE("an idempotency key whose memory has expired is not run again")
+{
+    // Guards against a second run after the ledger dropped the entry; the
+    // row in the table remains.
+    request_cell cell(6);
+    CHECK(cell.wait(cell.request("north-1", "slot-1", {"k1"})).http_status ==
+          200);
+    cell.run_for(config::idempotency_memory + 30s);
+    const auto repeat = cell.wait(cell.request("north-1", "slot-1", {"k1"}));
+    CHECK(fake_cell::error_code(repeat) == "CC-1302");
+    CHECK(cell.runs_of("slot-1") == 1);
+}
+
+TEST_CASE("a lost reply to the insert of a key is settled by reading it back")
+{
+    // Guards against refusing, or running twice, what was inserted.
+    request_cell cell(7);
+    cell.store.lose_replies = 1;
+    CHECK(cell.wait(cell.request("north-1", "slot-1", {"k1"})).http_status ==
+          200);
+    CHECK(cell.wait(cell.request("north-1", "slot-1", {"k1"})).http_status ==
+          200);
+    CHECK(cell.runs_of("slot-1") == 1);
+}
+
+TEST_CASE("a key is refused as not run while the store is down, and runs after")
+{
+    // Guards against running what is not protected, and against a name that
+    // stays blocked by its own unused row.
+    request_cell cell(8);
+    const bool lost_after_write = GENERATE(false, true);
+    if (lost_after_write)
+        cell.store.lose_replies = 1;
+    else
+        cell.store.refuses = true;
+    const auto id = cell.request("north-1", "slot-1", {"k1"});
+    if (lost_after_write)
+    {
+        cell.run_for(50ms);
+        cell.store.down = true;
+    }
+    const auto refused = cell.wait(id);
+    CHECK(fake_cell::error_code(refused) == "CC-1203");
+    CHECK(cell.executions.empty());
+    cell.store = {};
+    cell.run_for(10s);
+    CHECK(cell.wait(cell.request("north-1", "slot-1", {"k1"})).http_status ==
+          200);
+    CHECK(cell.runs_of("slot-1") == 1);
+}
+
+TEST_CASE("keys are inserted in groups, and a taken one holds up no other")
+{
+    // Guards against a write to the store for each request.
+    request_cell cell(9, 1, 8);
+    CHECK(cell.wait(cell.request("north-1", "r0", {"k0"})).http_status == 200);
+    cell.run_for(config::idempotency_memory + 30s);
+    const auto before = cell.core("north-1").counters().counter(
+        "carobcourse_claim_commits_total");
+    std::vector<call_id> calls;
+    calls.reserve(200);
+    for (int i = 0; i < 200; ++i)
+        calls.push_back(cell.request("north-1", fmt::format("r{}", i),
+                                     {fmt::format("k{}", i)}));
+    int answered = 0;
+    for (const auto id : calls)
+        answered += cell.wait(id).http_status == 200 ? 1 : 0;
+    CHECK(answered == 199); // All but k0, whose memory has expired.
+    CHECK(cell.executions.size() == 200);
+    const auto commits = cell.core("north-1").counters().counter(
+                             "carobcourse_claim_commits_total") -
+                         before;
+    CHECK(commits <= 6);
+}
+
+TEST_CASE("the same key at two hosts at once runs once")
+{
+    // Guards against both hosts taking the key.
+    for (std::uint64_t seed = 20; seed < 30; ++seed)
+    {
+        request_cell cell(seed, 2);
+        cell.connect("north-1", "north-2");
+        cell.store.lose_probability = 0.2;
+        std::vector<call_id> calls;
+        for (int i = 0; i < 20; ++i)
+        {
+            const auto text = std::to_string(i);
+            calls.push_back(cell.request("north-1", text, {"k" + text}));
+            calls.push_back(cell.request("north-2", text, {"k" + text}));
+        }
+        for (const auto id : calls)
+            CHECK(cell.wait(id).http_status != 0);
+        for (int i = 0; i < 20; ++i)
+            CHECK(cell.runs_of(std::to_string(i)) <= 1);
+    }
+}
+
+TEST_CASE("a key that a dead host took is unknown at other hosts")
+{
+    // Guards against a second run after the accepting host has died.
+    request_cell cell(31, 2);
+    cell.connect("north-1", "north-2");
+    cell.service_time = 300ms;
+    cell.request("north-1", "slot-1", {"k1"});
+    cell.run_for(100ms);
+    REQUIRE(cell.runs_of("slot-1") == 1);
+    cell.kill("north-1");
+    const auto repeat =
+        cell.wait(cell.request("north-2", "slot-1", {"k1", 2000}));
+    CHECK(fake_cell::error_code(repeat) == "CC-1302");
+    cell.add_entry_host("north-1", "north");
+    cell.run_for(3s);
+    const auto restarted = cell.wait(cell.request("north-1", "slot-1", {"k1"}));
+    CHECK(fake_cell::error_code(restarted) == "CC-1302");
+    CHECK(cell.runs_of("slot-1") == 1);
+}
+
+TEST_CASE("a ticket used at another host is run by its issuer, once")
+{
+    // Guards against two hosts that each run the same ticket.
+    request_cell cell(32, 2);
+    cell.connect("north-1", "north-2");
+    cell.duplicate_peer_message = 1;
+    const auto ticket = cell.ticket("north-1");
+    const std::string body("slot\0\xff one", 10); // Not UTF-8.
+    const auto first = cell.wait(cell.request("north-2", body, {ticket}));
+    CHECK(first.http_status == 200);
+    CHECK(first.body == body);
+    CHECK(cell.wait(cell.request("north-2", body, {ticket})).body == body);
+    CHECK(cell.wait(cell.request("north-1", body, {ticket})).body == body);
+    CHECK(cell.runs_of(body) == 1);
+}
+
+TEST_CASE("a ticket whose issuer does not answer or is gone stays unknown")
+{
+    // Guards against running a ticket without its issuer's memory.
+    request_cell cell(33, 2);
+    cell.connect("north-1", "north-2");
+    const auto ticket = cell.ticket("north-1");
+    CHECK(cell.wait(cell.request("north-1", "slot-1", {ticket})).http_status ==
+          200);
+    cell.kill("north-1");
+    const auto asked = cell.now();
+    const auto silent =
+        cell.wait(cell.request("north-2", "slot-1", {ticket, 1000}));
+    CHECK(fake_cell::error_code(silent) == "CC-1302");
+    CHECK(cell.now() - asked >= 1000ms);
+    CHECK(cell.now() - asked <= 1100ms);
+    cell.add_entry_host("north-1", "north");
+    cell.connect("north-1", "north-2");
+    cell.run_for(3s);
+    for (const auto* host : {"north-1", "north-2"})
+    {
+        const auto gone = cell.wait(cell.request(host, "slot-1", {ticket}));
+        CHECK(fake_cell::error_code(gone) == "CC-1302");
+    }
+    CHECK(cell.runs_of("slot-1") == 1);
+}
+
+TEST_CASE("a refusal of a repeat never says that nothing ran")
+{
+    // Guards against a false "not run" (I7) from a host that is stopping.
+    request_cell cell(34);
+    for (const auto* e : {"e1", "e2"})
+        cell.executor_faults[e].lose_replies = 1;
+    const auto ticket = cell.ticket("north-1");
+    const auto fresh = cell.ticket("north-1");
+    const auto slow = cell.request("north-1", "slow", {"", 25000});
+    const auto used = cell.request("north-1", "slot-1", {ticket, 500});
+    cell.run_for(1s);
+    CHECK(fake_cell::error_code(cell.wait(used)) == "CC-1302");
+    cell.request_stop("north-1");
+    cell.run_for(1100ms);
+    const auto repeat = cell.wait(cell.request("north-1", "slot-1", {ticket}));
+    CHECK(fake_cell::error_code(repeat) == "CC-1302");
+    const auto unused = cell.wait(cell.request("north-1", "slot-2", {fresh}));
+    CHECK(fake_cell::error_code(unused) == "CC-1103");
+    CHECK(cell.wait(slow).http_status != 0);
+}
