--- /dev/null
+++ b/tests/test_request_queue.cpp
@@ -0,0 +1,137 @@
+#include <catch2/catch.hpp>
+#include <map>
+#include <vector>
+
+#include "request_queue_p.hpp"
+
+using namespace carobcourse;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto start = time_point(std::chrono::hours(1));
+
+queued_request item(std::uint64_t sequence, duration cost = 10ms,
+                    const std::string& service = "a", std::int64_t priority = 5,
+                    duration deadline = 30s)
+{
+    return {priority, start + deadline,
+            sequence, std::to_string(sequence),
+            service,  cost};
+}
+
+/// Takes up to `most` requests and returns their ids.
+std::vector<std::string> take(request_queue& queue, std::size_t most)
+{
+    std::vector<std::string> taken;
+    queue.drain(
+        [&](const queued_request& each)
+        {
+            if (taken.size() == most)
+                return false;
+            taken.push_back(each.id);
+            return true;
+        });
+    return taken;
+}
+
+} // namespace
+
+TEST_CASE("teams share slot time by weight, one slot at a time")
+{
+    // Guards against a share that depends on how many slots are free at once,
+    // on the number of requests or on their length.
+    request_queue queue;
+    std::map<std::string, std::string> team_of;
+    std::map<std::string, duration> used;
+    std::map<std::string, duration> cost_of;
+    std::uint64_t sequence = 0;
+    const auto add =
+        [&](const std::string& team, std::int64_t weight, duration cost)
+    {
+        const auto each = item(++sequence, cost);
+        team_of[each.id] = team;
+        cost_of[each.id] = cost;
+        queue.push(team, weight, each);
+    };
+    for (int i = 0; i < 1000; ++i)
+    {
+        add("heavy", 3, 10ms);
+        add("light", 1, 10ms);
+        add("long", 1, 50ms);
+    }
+    for (int i = 0; i < 500; ++i)
+    {
+        for (const auto& id : take(queue, 1))
+            used[team_of[id]] += cost_of[id];
+    }
+    const auto light = static_cast<double>(used["light"].count());
+    CHECK(static_cast<double>(used["heavy"].count()) / light ==
+          Approx(3).epsilon(0.05));
+    CHECK(static_cast<double>(used["long"].count()) / light ==
+          Approx(1).epsilon(0.05));
+}
+
+TEST_CASE("a team that was idle earns nothing for that time")
+{
+    // Guards against a burst that shuts out the others.
+    request_queue queue;
+    std::uint64_t sequence = 0;
+    for (int i = 0; i < 100; ++i)
+        queue.push("busy", 1, item(++sequence));
+    take(queue, 50);
+    for (int i = 0; i < 100; ++i)
+        queue.push("idle", 1, item(1000 + i));
+    int idle = 0;
+    for (const auto& id : take(queue, 20))
+        idle += std::stoi(id) >= 1000 ? 1 : 0;
+    CHECK(idle >= 9);
+    CHECK(idle <= 11);
+}
+
+TEST_CASE("within a team priority goes first, then the earliest deadline")
+{
+    // Guards against first come, first served.
+    request_queue queue;
+    queue.push("desk", 1, item(1, 10ms, "a", 5, 20s));
+    queue.push("desk", 1, item(2, 10ms, "b", 5, 10s));
+    queue.push("desk", 1, item(3, 10ms, "a", 2, 30s));
+    queue.push("desk", 1, item(4, 10ms, "a", 5, 10s));
+    CHECK(take(queue, 9) == std::vector<std::string>{"3", "2", "4", "1"});
+}
+
+TEST_CASE("a service without slots holds up no other service or team")
+{
+    // Guards against head of line blocking.
+    request_queue queue;
+    queue.push("desk", 1, item(1, 10ms, "full", 1));
+    queue.push("desk", 1, item(2, 10ms, "free", 5));
+    queue.push("other", 1, item(3, 10ms, "free", 5));
+    std::vector<std::string> taken;
+    queue.drain(
+        [&](const queued_request& each)
+        {
+            if (each.service == "full")
+                return false;
+            taken.push_back(each.id);
+            return true;
+        });
+    CHECK(taken.size() == 2);
+    CHECK(queue.size("desk") == 1);
+    CHECK(queue.size("other") == 0);
+}
+
+TEST_CASE("a removed request is not served")
+{
+    // Guards against serving what was refused or abandoned.
+    request_queue queue;
+    queue.push("desk", 1, item(1));
+    queue.push("desk", 1, item(2));
+    CHECK(queue.ahead_of("desk", "a", 5, start + 30s) == 2);
+    CHECK(queue.ahead_of("desk", "a", 5, start + 10s) == 0);
+    queue.remove("desk", item(1));
+    queue.remove("desk", item(1));
+    CHECK(take(queue, 9) == std::vector<std::string>{"2"});
+    CHECK(queue.size("desk") == 0);
+}
