--- /dev/null
+++ b/tests/test_request_path.cpp
@@ -0,0 +1,225 @@
+// Queueing, retries, deadlines and the planned stop on the path of requests.
+#include "request_cell.hpp"
+
+using namespace carobcourse;
+using namespace carobcourse::test;
+
+namespace
+{
+
+std::uint64_t counter(fake_cell& cell, const std::string& name,
+                      const std::string& reason = {})
+{
+    return cell.core("north-1").counters().counter(name, reason);
+}
+
+} // namespace
+
+TEST_CASE("a request in flight past its deadline is unknown, a queued one not "
+          "run")
+{
+    // Guards against a false "not run" (I7) and a call that is never answered.
+    request_cell cell(1, 1, 1);
+    cell.service_time = 5s;
+    std::vector<call_id> sent;
+    for (std::uint32_t i = 0; i < config::executor_slots; ++i)
+        sent.push_back(cell.request("north-1", "sent", {"", 1000}));
+    const auto queued = cell.request("north-1", "queued", {"", 1000});
+    for (const auto id : sent)
+        CHECK(fake_cell::error_code(cell.wait(id)) == "CC-1302");
+    CHECK(fake_cell::error_code(cell.wait(queued)) == "CC-1104");
+    cell.run_for(10s);
+    CHECK(cell.runs_of("queued") == 0);
+    CHECK(counter(cell, "carobcourse_answers_dropped_total", "late") ==
+          config::executor_slots);
+}
+
+TEST_CASE("a foreign answer completes no request")
+{
+    // Guards against the answer to another request (I6).
+    request_cell cell(2, 1, 1);
+    cell.executor_faults["e1"].answer_as = "another";
+    const auto reply = cell.wait(cell.request("north-1", "slot-1"));
+    CHECK(fake_cell::error_code(reply) == "CC-1302");
+    CHECK(counter(cell, "carobcourse_answers_dropped_total", "foreign") == 1);
+    CHECK(cell.runs_of("slot-1") == 1);
+}
+
+TEST_CASE("a refusal after an attempt that may have run is not \"not run\"")
+{
+    // Guards against a false "not run" (I7) when the last attempt of an
+    // idempotent request certainly failed but an earlier one did not.
+    request_cell cell(3, 1, 1);
+    cell.executor_faults["e1"].answer_as = "another";
+    const auto id = cell.request("north-1", "check", {"", 20000, true});
+    cell.run_until(1s, [&] { return cell.runs_of("check") == 1; });
+    cell.executor_faults["e1"].refuse_connection = true;
+    CHECK(fake_cell::error_code(cell.wait(id)) == "CC-1302");
+    CHECK(cell.runs_of("check") == 1);
+}
+
+TEST_CASE("a refused connection is certain and retried elsewhere")
+{
+    // Guards against an error to the caller while another server works, and
+    // against work that stays away from a server that has recovered.
+    request_cell cell(4, 1, 2);
+    cell.executor_faults["e1"].refuse_connection = true;
+    for (int i = 0; i < 40; ++i)
+    {
+        const auto body = std::to_string(i);
+        CHECK(cell.wait(cell.request("north-1", body)).http_status == 200);
+        CHECK(cell.runs_of(body) == 1);
+    }
+    CHECK(counter(cell, "carobcourse_breaker_opened_total") >= 1);
+    cell.executor_faults["e1"].refuse_connection = false;
+    for (int i = 0; i < 100; ++i)
+    {
+        cell.wait(cell.request("north-1", "more", {"", 20000, true}));
+        cell.run_for(100ms);
+    }
+    CHECK(std::any_of(cell.executions.begin(), cell.executions.end(),
+                      [](const execution& e) { return e.executor == "e1"; }));
+}
+
+TEST_CASE("retries are at most a tenth of the requests")
+{
+    // Guards against retries that multiply the load of a failing cell.
+    request_cell cell(5, 1, 4);
+    for (int e = 1; e <= 4; ++e)
+        cell.executor_faults[fmt::format("e{}", e)].answer_as = "another";
+    const int requests = 1000;
+    std::vector<call_id> calls;
+    for (int i = 0; i < requests; ++i)
+    {
+        calls.push_back(cell.request("north-1", "check", {"", 20000, true}));
+        cell.run_for(5ms);
+    }
+    for (const auto id : calls)
+        CHECK(fake_cell::error_code(cell.wait(id)) == "CC-1302");
+    const auto retries =
+        counter(cell, "carobcourse_retries_total", "no_answer");
+    CHECK(retries > 0);
+    CHECK(retries <=
+          requests / config::requests_per_retry + config::max_saved_retries);
+}
+
+TEST_CASE("servers without a free slot cost no request")
+{
+    // Guards against an error, or a second run, for a refusal that is
+    // certain: two entry hosts borrow the same slots.
+    request_cell cell(6, 2, 2);
+    cell.service_time = 30ms;
+    std::vector<call_id> calls;
+    for (int i = 0; i < 300; ++i)
+        calls.push_back(
+            cell.request(i % 2 ? "north-1" : "north-2", std::to_string(i)));
+    for (const auto id : calls)
+        CHECK(cell.wait(id).http_status == 200);
+    CHECK(cell.executions.size() == 300);
+}
+
+TEST_CASE("what can not meet its deadline is refused at once")
+{
+    // Guards against slots spent on answers that come too late, and against
+    // a slow spell after which short deadlines are refused for good.
+    request_cell cell(7, 1, 1);
+    cell.service_time = 400ms;
+    for (std::uint32_t i = 0; i < config::service_time_samples; ++i)
+        cell.wait(cell.request("north-1", "measured"));
+    const auto before = cell.now();
+    const auto hopeless =
+        cell.wait(cell.request("north-1", "hopeless", {"", 200}));
+    CHECK(fake_cell::error_code(hopeless) == "CC-1104");
+    CHECK(cell.now() - before <= 20ms);
+    CHECK(cell.runs_of("hopeless") == 0);
+    cell.service_time = 20ms;
+    cell.run_for(config::service_time_validity + 1s);
+    CHECK(cell.wait(cell.request("north-1", "short", {"", 200})).http_status ==
+          200);
+}
+
+TEST_CASE("queues are bounded per team, and open callers share one")
+{
+    // Guards against unbounded memory and against anonymous callers, or one
+    // team, that take the queues of the others.
+    request_cell cell(8, 1, 1);
+    cell.service_time = 1s;
+    const auto refused = [&](const std::string& key, const std::string& service)
+    {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < config::team_queue_capacity + 100; ++i)
+        {
+            const auto id = cell.request_as(key, "north-1", "x", {}, service);
+            cell.run_for(0ms);
+            count += cell.answers.count(id) &&
+                     fake_cell::error_code(cell.answers.at(id)) == "CC-1102";
+        }
+        return count;
+    };
+    CHECK(refused("", "availability") == 100 - config::executor_slots);
+    CHECK(refused("any text", "availability") ==
+          config::team_queue_capacity + 100);
+    CHECK(refused(cell.key, "bookings") == 100);
+    cell.run_for(60s);
+}
+
+TEST_CASE("a caller that goes away takes no slot, unless it may come back")
+{
+    // Guards against work for nobody, and against an answer that is lost to
+    // a caller that repeats its call.
+    request_cell cell(9, 1, 1);
+    cell.service_time = 200ms;
+    const auto ticket = cell.ticket("north-1");
+    for (std::uint32_t i = 0; i < config::executor_slots; ++i)
+        cell.request("north-1", "sent");
+    const auto gone = cell.request("north-1", "gone");
+    const auto named = cell.request("north-1", "named", {ticket});
+    cell.run_for(10ms);
+    cell.core("north-1").handle(cell.now(), call_abandoned{gone});
+    cell.core("north-1").handle(cell.now(), call_abandoned{named});
+    cell.run_for(1s);
+    CHECK(cell.answers.count(gone) == 0);
+    CHECK(cell.runs_of("gone") == 0);
+    CHECK(cell.wait(cell.request("north-1", "named", {ticket})).http_status ==
+          200);
+    CHECK(cell.runs_of("named") == 1);
+    CHECK(cell.core("north-1").counters().counter(
+              "carobcourse_calls_abandoned_total") == 2);
+}
+
+TEST_CASE("a planned stop cuts no accepted request")
+{
+    // Guards against a stop that loses what is queued or in flight (I10).
+    request_cell cell(10, 1, 1);
+    cell.service_time = 200ms;
+    std::vector<call_id> calls;
+    for (int i = 0; i < 50; ++i)
+        calls.push_back(cell.request("north-1", std::to_string(i)));
+    cell.request_stop("north-1");
+    cell.run_for(500ms);
+    calls.push_back(cell.request("north-1", "in the grace"));
+    cell.run_for(600ms);
+    const auto late = cell.request("north-1", "after the grace");
+    CHECK(fake_cell::error_code(cell.wait(late)) == "CC-1103");
+    for (const auto id : calls)
+        CHECK(cell.wait(id).http_status == 200);
+    CHECK(cell.run_until(5s, [&] { return cell.is_stopped("north-1"); }));
+    CHECK(cell.executions.size() == calls.size());
+}
+
+TEST_CASE("at the drain deadline everything is answered truthfully")
+{
+    // Guards against calls that are cut without an answer.
+    request_cell cell(11, 1, 1);
+    cell.service_time = 200s;
+    std::vector<call_id> sent;
+    for (std::uint32_t i = 0; i < config::executor_slots; ++i)
+        sent.push_back(cell.request("north-1", "sent", {"", 200000}));
+    const auto queued = cell.request("north-1", "queued", {"", 200000});
+    cell.run_for(1s);
+    cell.request_stop("north-1");
+    CHECK(cell.run_until(32s, [&] { return cell.is_stopped("north-1"); }));
+    for (const auto id : sent)
+        CHECK(fake_cell::error_code(cell.wait(id)) == "CC-1302");
+    CHECK(fake_cell::error_code(cell.wait(queued)) == "CC-1103");
+}
