--- a/src/log_event_p.hpp
+++ b/src/log_event_p.hpp
@@ -40,7 +40,11 @@
     X(job_parked, 2403, warning, "a job fails on several workers")             \
     X(job_moved, 2404, info, "a job has moved to another data centre")         \
     X(request_unknown, 2501, warning, "the outcome of a request is unknown")   \
-    X(answer_dropped, 2502, warning, "an answer named another attempt")
+    X(answer_dropped, 2502, warning, "an answer named another attempt")        \
+    X(circuit_opened, 2503, warning,                                           \
+      "a backend server fails; its circuit is open")                           \
+    X(requests_cut, 2504, warning,                                             \
+      "the drain deadline passed with requests unanswered")
 
 enum class log_code : std::uint16_t
 {
