Enforce teams' upper limits by escrowed shares

The scheduler starts nothing before its share is read, and counts starting, running and possibly running attempts once per task.

--- a/src/document.cpp
+++ b/src/document.cpp
@@ -110,6 +110,10 @@
         document.weight = reader.optional_integer("weight", 1, 1, max_weight);
         if (const auto* limit = reader.required_table("limit"))
             document.limit = read_resources(*limit, "limit.", file, problems);
+        const auto excess = reader.optional_string("limit_excess", "keep");
+        if (excess != "keep" && excess != "stop")
+            reader.report("limit_excess", "must be \"keep\" or \"stop\"");
+        document.stop_excess = excess == "stop";
         for (const auto* service : reader.optional_tables("service"))
             document.services.push_back(read_service(*service, file, problems));
         check_unique_services(document, reader);
@@ -139,6 +143,7 @@
     return json{{"team", document.team},
                 {"weight", document.weight},
                 {"limit", to_json(document.limit)},
+                {"limit_excess", document.stop_excess ? "stop" : "keep"},
                 {"services", services}}
         .dump();
 }
@@ -153,6 +158,7 @@
         document.team = value.at("team").get<std::string>();
         document.weight = value.at("weight").get<std::int64_t>();
         document.limit = resources_from_json(value.at("limit"));
+        document.stop_excess = value.value("limit_excess", "keep") == "stop";
         for (const auto& item : value.at("services"))
         {
             service_queue queue;
--- a/src/document_p.hpp
+++ b/src/document_p.hpp
@@ -49,12 +49,14 @@
     std::uint64_t base_version = 0;
     std::int64_t weight = 1; ///< Share of the team when the cell is full.
     resources limit;         ///< Most that may run at once, fleet wide.
+    /// After the limit is lowered, stop the newest tasks above it.
+    bool stop_excess = false;
     std::vector<service_queue> services;
 
     friend bool operator==(const team_document& a, const team_document& b)
     {
         return a.team == b.team && a.weight == b.weight && a.limit == b.limit &&
-               a.services == b.services;
+               a.stop_excess == b.stop_excess && a.services == b.services;
     }
     friend bool operator!=(const team_document& a, const team_document& b)
     {
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -7,6 +7,7 @@
 
 void shard_scheduler::schedule(time_point now)
 {
+    allotments_.begin_pass();
     if (stopping_ || !active_ || !ownership_.is_owner(now) ||
         !config_.check_usable(now) || !workers_.is_recovered(now) ||
         config_.current().is_data_centre_out(context_.identity.data_centre))
@@ -37,6 +38,11 @@
                          : "no worker could ever hold a task";
         return false;
     }
+    if (!allotments_.may_start(job.spec.team, job.spec.amount))
+    {
+        job.reason = "the team is at its upper limit";
+        return false;
+    }
     auto& task = job.tasks[index];
     start_task start;
     start.attempt = {{job.spec.id, index}, task.attempt + 1};
@@ -49,6 +55,7 @@
     task.attempt = start.attempt.attempt;
     task.state = task_state::starting;
     task.worker = *worker;
+    allotments_.note_started(start.attempt, start.team, start.amount);
     job.reason.clear();
     context_.counters.count("carobcourse_task_starts_total");
     context_.counters.observe("carobcourse_task_wait_seconds",
--- a/src/shard_scheduler.cpp
+++ b/src/shard_scheduler.cpp
@@ -33,14 +33,17 @@
                                  const config_service& config)
     : context_(context), config_(config),
       ownership_(context, job_tables::shard_of(context.identity.data_centre)),
-      workers_(context)
+      workers_(context),
+      allotments_(context, config.current(),
+                  job_tables::shard_of(context.identity.data_centre))
 {
 }
 
 bool shard_scheduler::on_store_result(time_point now,
                                       const store_result& result)
 {
-    if (ownership_.on_store_result(now, result))
+    if (ownership_.on_store_result(now, result) ||
+        allotments_.on_store_result(now, result))
         return true;
     if (load_op_ && result.op == *load_op_)
     {
@@ -100,8 +103,10 @@
         return;
     for (const auto& news : workers_.on_tick(now))
         apply(news);
+    allotments_.on_tick(now);
     if (active_)
     {
+        stop_excess();
         poll_inbox(now);
         schedule(now);
         write_jobs(now);
@@ -122,6 +127,7 @@
     jobs_.clear();
     waiting_.clear();
     dirty_.clear();
+    allotments_.begin(now, active_epoch_);
     workers_.begin_epoch(active_epoch_);
     workers_.update_hosts(now, hosts_);
 }
@@ -129,6 +135,7 @@
 void shard_scheduler::on_lost()
 {
     active_epoch_ = 0;
+    allotments_.end();
     active_ = false;
     loading_ = false;
     jobs_.clear();
@@ -179,6 +186,9 @@
         else if (task.state == task_state::starting ||
                  task.state == task_state::stopping)
             task.state = task_state::running;
+        if (task.state == task_state::running)
+            allotments_.note_started({{id, i}, task.attempt}, job->spec.team,
+                                     job->spec.amount);
     }
     jobs_.emplace(id, std::move(*job));
 }
@@ -266,8 +276,26 @@
     workers_.send_due(now, ownership_.acts_until());
 }
 
+void shard_scheduler::stop_excess()
+{
+    for (const auto& attempt : allotments_.take_excess())
+    {
+        const auto found = jobs_.find(attempt.task.job);
+        if (found == jobs_.end())
+            continue;
+        auto& task = found->second.tasks[attempt.task.index];
+        workers_.stop(task.worker, attempt, found->second.spec.checkpoints);
+        task.state = task_state::stopping;
+        task_changed(attempt.task.job);
+    }
+}
+
 void shard_scheduler::apply(const attempt_news& news)
 {
+    if (news.what == attempt_news::kind::running)
+        allotments_.note_started(news.attempt, news.team, news.amount);
+    else
+        allotments_.note_ended(news.attempt);
     const auto found = jobs_.find(news.attempt.task.job);
     if (found == jobs_.end() ||
         news.attempt.task.index >= found->second.tasks.size())
@@ -384,6 +412,7 @@
         {
             context_.log(log_code::job_ended,
                          fmt::format("{} {}", id, found->second.state()));
+            allotments_.note_job_ended(id);
             jobs_.erase(found);
         }
     }
--- a/src/shard_scheduler_p.hpp
+++ b/src/shard_scheduler_p.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "allotment_p.hpp"
 #include "config_service_p.hpp"
 #include "core_context_p.hpp"
 #include "job_p.hpp"
@@ -87,6 +88,7 @@
     void schedule(time_point now);
     bool place_task(time_point now, job_record& job, std::uint32_t index);
     void cancel_job(job_record& job);
+    void stop_excess();
     void apply(const attempt_news& news);
     void apply_finished(job_record& job, std::uint32_t index,
                         const attempt_news& news);
@@ -98,6 +100,7 @@
     const config_service& config_;
     ownership ownership_;
     worker_book workers_;
+    allotment allotments_;
     std::vector<host_entry> hosts_;
     std::set<std::string> data_centres_;
 
