Merge the escrowed upper limits

Starts count the capacity of workers that have not answered to a new owner against the limit, since they may run work of the owner before. A replay creates its core at the first event: the core now draws random bytes when it is created, which shifted all later ones (seen as test_process_replay red).

--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -7,6 +7,7 @@
 
 void shard_scheduler::schedule(time_point now)
 {
+    allotments_.begin_pass();
     if (stopping_ || !active_ || !ownership_.is_owner(now) ||
         !config_.check_usable(now) || !workers_.is_recovered(now) ||
         config_.current().is_data_centre_out(context_.identity.data_centre))
@@ -37,6 +38,15 @@
                          : "no worker could ever hold a task";
         return false;
     }
+    // Until a worker has answered or its lease is over it may run as much of
+    // the team's work as it holds, started by the owner before.
+    const auto unsettled = workers_.unsettled_capacity(now);
+    if (!unsettled ||
+        !allotments_.may_start(job.spec.team, job.spec.amount + *unsettled))
+    {
+        job.reason = "the team is at its upper limit";
+        return false;
+    }
     const auto worker = free.name(chosen.front().worker);
     auto& task = job.tasks[index];
     start_task start;
@@ -51,6 +61,7 @@
     task.state = task_state::starting;
     task.worker = worker;
     task.detail = chosen.front().why;
+    allotments_.note_started(start.attempt, start.team, start.amount);
     job.reason.clear();
     context_.counters.count("carobcourse_task_starts_total");
     context_.counters.observe("carobcourse_task_wait_seconds",
--- a/src/shard_scheduler.cpp
+++ b/src/shard_scheduler.cpp
@@ -38,14 +38,18 @@
                                  const config_service& config)
     : context_(context), config_(config),
       ownership_(context, job_tables::shard_of(context.identity.data_centre)),
-      workers_(context), journal_(context)
+      workers_(context),
+      allotments_(context, config.current(),
+                  job_tables::shard_of(context.identity.data_centre)),
+      journal_(context)
 {
 }
 
 bool shard_scheduler::on_store_result(time_point now,
                                       const store_result& result)
 {
-    if (ownership_.on_store_result(now, result))
+    if (ownership_.on_store_result(now, result) ||
+        allotments_.on_store_result(now, result))
         return true;
     if (load_op_ && result.op == *load_op_)
     {
@@ -113,11 +117,13 @@
     }
     for (const auto& news : workers_.on_tick(now))
         apply(news);
+    allotments_.on_tick(now);
     if (active_)
     {
         journal_.on_tick(now);
         release_recovered(now);
         drain(now);
+        stop_excess();
         poll_inbox(now);
         schedule(now);
         write_jobs(now);
@@ -152,6 +158,7 @@
     early_news_.clear();
     deleted_inbox_.clear();
     cancelled_homes_.clear();
+    allotments_.end();
     // What was read in an earlier epoch may be out of date.
     load_op_.reset();
     inbox_op_.reset();
@@ -163,6 +170,7 @@
     active_epoch_ = ownership_.epoch();
     journal_.begin(ownership_.shard(), active_epoch_,
                    ownership_.fence_version());
+    allotments_.begin(now, active_epoch_);
     workers_.begin_epoch(now, active_epoch_);
     workers_.update_hosts(now, hosts_);
 }
@@ -225,8 +233,9 @@
         return nullptr;
     job->accepted_at = now;
     job->hold = hold;
-    for (auto& task : job->tasks)
+    for (std::uint32_t i = 0; i < job->tasks.size(); ++i)
     {
+        auto& task = job->tasks[i];
         if (task.state != task_state::starting &&
             task.state != task_state::stopping &&
             task.state != task_state::running)
@@ -234,6 +243,8 @@
         task.state = task_state::running;
         // The worker may have left the list while the task runs there.
         workers_.expect(now, task.worker);
+        allotments_.note_started({{job->spec.id, i}, task.attempt},
+                                 job->spec.team, job->spec.amount);
     }
     return &jobs_.emplace(job->spec.id, std::move(*job)).first->second;
 }
@@ -250,12 +261,14 @@
         if (job.hold != job_hold::recovering)
             continue;
         job.hold = job_hold::none;
-        for (auto& task : job.tasks)
+        for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
         {
+            auto& task = job.tasks[i];
             const bool unknown = task.state == task_state::running ||
                                  task.state == task_state::stopping;
             if (!unknown || task.reported)
                 continue;
+            allotments_.note_ended({{id, i}, task.attempt});
             task.state = job.cancel_requested ? task_state::cancelled
                                               : task_state::waiting;
             context_.counters.count_retry("attempt_lost");
@@ -482,6 +495,20 @@
     }
 }
 
+void shard_scheduler::stop_excess()
+{
+    for (const auto& attempt : allotments_.take_excess())
+    {
+        const auto found = jobs_.find(attempt.task.job);
+        if (found == jobs_.end())
+            continue;
+        auto& task = found->second.tasks[attempt.task.index];
+        workers_.stop(task.worker, attempt, found->second.spec.checkpoints);
+        task.state = task_state::stopping;
+        task_changed(attempt.task.job);
+    }
+}
+
 void shard_scheduler::apply(const attempt_news& news)
 {
     if (!active_)
@@ -490,6 +517,10 @@
             early_news_.push_back(news);
         return;
     }
+    if (news.what == attempt_news::kind::running)
+        allotments_.note_started(news.attempt, news.team, news.amount);
+    else
+        allotments_.note_ended(news.attempt);
     const auto found = jobs_.find(news.attempt.task.job);
     const bool known = found != jobs_.end() &&
                        news.attempt.task.index < found->second.tasks.size();
@@ -690,6 +721,7 @@
                      fmt::format("{} to {}", write.job, write.moved_to));
         dirty_.erase(write.job);
         unsettled_.erase(write.job); // Left in the inbox and forwarded.
+        allotments_.note_job_ended(write.job);
         jobs_.erase(found);
         return;
     }
@@ -710,6 +742,7 @@
     {
         context_.log(log_code::job_ended,
                      fmt::format("{} {}", write.job, job.state()));
+        allotments_.note_job_ended(write.job);
         jobs_.erase(found);
     }
 }
--- a/src/shard_scheduler_p.hpp
+++ b/src/shard_scheduler_p.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "allotment_p.hpp"
 #include "config_service_p.hpp"
 #include "core_context_p.hpp"
 #include "job_journal_p.hpp"
@@ -131,6 +132,7 @@
     void dequeue(const task_id& task);
     void enqueue_all(const job_record& job);
     void cancel_job(job_record& job);
+    void stop_excess();
     void apply(const attempt_news& news);
     /// News of an attempt that is not the present one of its task.
     void disown(const attempt_news& news, bool known_job);
@@ -150,6 +152,7 @@
     const config_service& config_;
     ownership ownership_;
     worker_book workers_;
+    allotment allotments_;
     std::vector<host_entry> hosts_;
     std::set<std::string> data_centres_;
 
--- a/src/trace.cpp
+++ b/src/trace.cpp
@@ -119,6 +119,7 @@
             {"answered_attempt", result.answered_attempt},
             {"slots_free", result.slots_free},
             {"leaving", result.leaving},
+            {"no_slot", result.no_slot},
             {"content_type", result.content_type},
             {"body", result.body}};
 }
@@ -193,6 +194,7 @@
     result.answered_attempt = value.at("answered_attempt").get<std::uint32_t>();
     result.slots_free = value.at("slots_free").get<std::uint32_t>();
     result.leaving = value.at("leaving").get<bool>();
+    result.no_slot = value.value("no_slot", false);
     result.content_type = value.at("content_type").get<std::string>();
     result.body = value.at("body").get<std::string>();
     return result;
@@ -339,8 +341,7 @@
     void take(std::size_t number, const json& line)
     {
         if (line.contains("host"))
-            core_.emplace(identity_from_json(line["host"]),
-                          line.value("seed", std::uint64_t{0}), entropy_);
+            header_ = line;
         else if (line.contains("entropy"))
             entropy_.add(line["entropy"].get<std::string>());
         else if (line.contains("event"))
@@ -359,7 +360,7 @@
     void handle(const json& line)
     {
         if (!core_)
-            throw json::other_error::create(501, "no host line before", &line);
+            create_core(line);
         const time_point now(
             std::chrono::microseconds(line.at("at_us").get<std::int64_t>()));
         last_.clear();
@@ -379,6 +380,16 @@
         }
     }
 
+    /// Waits for the first event, since the core may draw random bytes when
+    /// it is created, and these stand between the header and the event.
+    void create_core(const json& line)
+    {
+        if (header_.is_null())
+            throw json::other_error::create(501, "no host line before", &line);
+        core_.emplace(identity_from_json(header_["host"]),
+                      header_.value("seed", std::uint64_t{0}), entropy_);
+    }
+
     void expect(std::size_t number, const json& part)
     {
         ++report.expectations;
@@ -390,6 +401,7 @@
                 fmt::format("line {}: no effect like {}", number, part.dump()));
     }
 
+    json header_;
     recorded_entropy entropy_;
     std::optional<entry_host> core_;
     std::vector<json> last_;
--- a/src/worker_book.cpp
+++ b/src/worker_book.cpp
@@ -175,7 +175,7 @@
 
 bool worker_book::is_recovered(time_point) const
 {
-    return !index_.workers().empty();
+    return index_.size() != 0;
 }
 
 bool worker_book::all_settled(time_point now) const
@@ -189,6 +189,19 @@
                        });
 }
 
+std::optional<resources> worker_book::unsettled_capacity(time_point now) const
+{
+    if (!listed_ && now < epoch_began_ + lease_bound())
+        return std::nullopt;
+    resources sum;
+    for (const auto& [id, worker] : workers_)
+    {
+        if (!worker.answered && now < worker.lease_over)
+            sum += worker.host.capacity;
+    }
+    return sum;
+}
+
 void worker_book::start(const std::string& worker, start_task start)
 {
     auto& record = workers_.at(worker);
--- a/src/worker_book_p.hpp
+++ b/src/worker_book_p.hpp
@@ -81,6 +81,10 @@
     /// earlier owner may have granted is over.
     bool all_settled(time_point now) const;
 
+    /// Capacity of the workers that may run tasks of an earlier owner that
+    /// are not known here; empty while the workers themselves are not known.
+    std::optional<resources> unsettled_capacity(time_point now) const;
+
     /// Reserves capacity and queues the start. Precondition: the worker is
     /// in the index with room for the amount.
     void start(const std::string& worker, start_task start);
