--- a/tests/test_request_path.cpp
+++ b/tests/test_request_path.cpp
@@ -89,6 +89,7 @@
         cell.executor_faults[fmt::format("e{}", e)].answer_as = "another";
     const int requests = 1000;
     std::vector<call_id> calls;
+    calls.reserve(requests);
     for (int i = 0; i < requests; ++i)
     {
         calls.push_back(cell.request("north-1", "check", {"", 20000, true}));
@@ -110,6 +111,7 @@
     request_cell cell(6, 2, 2);
     cell.service_time = 30ms;
     std::vector<call_id> calls;
+    calls.reserve(300);
     for (int i = 0; i < 300; ++i)
         calls.push_back(
             cell.request(i % 2 ? "north-1" : "north-2", std::to_string(i)));
@@ -193,6 +195,7 @@
     request_cell cell(10, 1, 1);
     cell.service_time = 200ms;
     std::vector<call_id> calls;
+    calls.reserve(51);
     for (int i = 0; i < 50; ++i)
         calls.push_back(cell.request("north-1", std::to_string(i)));
     cell.request_stop("north-1");
