--- a/src/shell_http_server.cpp
+++ b/src/shell_http_server.cpp
@@ -101,6 +101,8 @@
     {
         running_->stop();
         running_->wait();
+        // Requests refer to the I/O context that `running_` owns.
+        waiting_.clear();
     }
     server(const server&) = delete;
     server& operator=(const server&) = delete;
--- a/src/shell_serve.cpp
+++ b/src/shell_serve.cpp
@@ -8,7 +8,6 @@
 #include <memory>
 #include <openssl/rand.h>
 #include <stdexcept>
-#include <thread>
 #include <utility>
 
 #include "bounded_ring_p.hpp"
@@ -24,6 +23,7 @@
 {
 
 constexpr std::size_t incarnation_bytes = 8;
+constexpr auto last_answers = std::chrono::milliseconds(200);
 
 class system_entropy final : public entropy_source
 {
@@ -115,8 +115,14 @@
             handle(timer_tick{});
         }
         write_log({log_code::stopped, ""});
-        // Answers that were given to the server are still being written.
-        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        // Answers that were given to the server are still being written, and
+        // calls that arrive meanwhile are refused.
+        const auto end = clock_.now() + last_answers;
+        while (clock_.now() < end)
+        {
+            for (auto& what : ring_.pop_all(end - clock_.now()))
+                handle(what);
+        }
     }
 
 private:
