--- a/src/shell_serve.cpp
+++ b/src/shell_serve.cpp
@@ -23,7 +23,6 @@
 {
 
 constexpr std::size_t incarnation_bytes = 8;
-constexpr auto last_answers = std::chrono::milliseconds(200);
 
 class system_entropy final : public entropy_source
 {
@@ -66,6 +65,9 @@
     sigset_t set_{};
 };
 
+/// Time after the planned stop in which the last answers are written.
+constexpr auto last_answers = std::chrono::milliseconds(200);
+
 class serve_process
 {
 public:
