--- a/src/worker_book.cpp
+++ b/src/worker_book.cpp
@@ -175,7 +175,7 @@
 
 bool worker_book::is_recovered(time_point) const
 {
-    return !index_.workers().empty();
+    return index_.size() > 0;
 }
 
 bool worker_book::all_settled(time_point now) const
--- a/tests/test_worker_book.cpp
+++ b/tests/test_worker_book.cpp
@@ -126,11 +126,11 @@
 
     bool takes_work() const
     {
-        return book.index().workers().count("w1") > 0;
+        return book.index().find("w1") != no_worker;
     }
     resources free() const
     {
-        return book.index().workers().at("w1").free;
+        return book.index().free(book.index().find("w1"));
     }
     standin::steady::time_point worker_time() const
     {
