Settle operators' changes, and show and remove teams

A commit without a reply was read back once; an absent row was answered as unknown although the commit could still take effect. Now a change of nothing at the same version excludes it, then the change is sent again; what can not be settled within 20 s is answered as unknown. Checks of base version, service names and use run against a head read after the call came, so a lagging host neither refuses wrongly nor reports "no change" for an old state. Calls are refused as not run when the table is down; before, they waited for the whole outage.

Withdrawing a withdrawn key is no change. An unknown key id costs the same MAC as a known one. The scan for secrets was first seen failing: the detail of an error repeated a whole key given instead of its id; error details and log lines are masked now.

--- a/include/carobcourse/result_code.hpp
+++ b/include/carobcourse/result_code.hpp
@@ -57,6 +57,10 @@
     X(version_conflict, 1501, 409, not_run,                                    \
       "the change is based on an older version")                               \
     X(no_change, 1502, 200, not_applicable, "nothing to change")               \
+    X(team_in_use, 1503, 409, not_run, "the team is in use")                   \
+    X(change_contended, 1504, 503, not_run, "other changes kept coming first") \
+    X(service_name_taken, 1505, 409, not_run,                                  \
+      "another team has a service of this name")                               \
     X(internal_error, 1901, 500, unknown, "internal error")
 
 /// Result of an operation, numbered for callers as CC-<number>.
--- a/src/config_service.cpp
+++ b/src/config_service.cpp
@@ -16,22 +16,12 @@
 constexpr char head_table[] = "config_head";
 constexpr char head_key[] = "head";
 constexpr std::size_t entry_scan_limit = 100000;
-constexpr std::size_t max_pending_changes = 256;
 
 std::string log_key(std::uint64_t version)
 {
     return fmt::format("{:020}", version);
 }
 
-std::optional<std::string> tail_after(const std::string& path,
-                                      const std::string& prefix)
-{
-    if (path.size() <= prefix.size() ||
-        path.compare(0, prefix.size(), prefix) != 0)
-        return std::nullopt;
-    return path.substr(prefix.size());
-}
-
 } // namespace
 
 config_service::config_service(core_context& context) : context_(context) {}
@@ -54,6 +44,7 @@
 {
     if (step_ == load_step::idle && now >= next_poll_)
         read_head(now);
+    on_change_tick(now);
     const bool fresh = is_fresh(now);
     if (fresh != was_fresh_)
     {
@@ -74,15 +65,8 @@
 
 void config_service::on_store_result(time_point now, const store_result& result)
 {
-    if (change_op_ && result.op == *change_op_)
-    {
-        change_op_.reset();
-        if (changes_.front().reading_back)
-            on_read_back(result);
-        else
-            on_commit(result);
+    if (on_change_result(now, result))
         return;
-    }
     if (!(result.op == poll_op_))
         return;
     if (result.status != store_status::ok)
@@ -106,9 +90,10 @@
     }
 }
 
-void config_service::poll_failed(time_point)
+void config_service::poll_failed(time_point now)
 {
     step_ = load_step::idle;
+    refuse_unsent_changes(now);
     context_.counters.count("carobcourse_config_poll_failures_total");
 }
 
@@ -189,298 +174,13 @@
     caught_up(now);
 }
 
-void config_service::caught_up(time_point)
+void config_service::caught_up(time_point now)
 {
     step_ = load_step::idle;
     fresh_until_ = poll_started_ + config::config_freshness_bound;
     context_.counters.gauge("carobcourse_config_version",
                             static_cast<double>(current_.version()));
-    if (!changes_.empty() && !change_op_)
-        send_next_change();
-}
-
-// ---------------------------------------------------------- operators' calls
-
-bool config_service::on_call(time_point now, const api_call& call)
-{
-    const auto team = tail_after(call.path, "/v1/teams/");
-    const auto key = tail_after(call.path, "/v1/keys/");
-    const auto data_centre = tail_after(call.path, "/v1/datacentres/");
-    const bool lists = call.path == "/v1/teams" || call.path == "/v1/keys" ||
-                       call.path == "/v1/datacentres";
-    if (!team && !key && !data_centre && !lists)
-        return false;
-    if (!check_operator(call))
-        return true;
-    if (!current_.is_loaded())
-    {
-        context_.refuse(call.id, {result_code::no_configuration, ""});
-        return true;
-    }
-    if (call.method == "GET" && call.path == "/v1/teams")
-        list_entries(call, entry_kind::team);
-    else if (call.method == "GET" && call.path == "/v1/keys")
-        list_entries(call, entry_kind::key);
-    else if (call.method == "GET" && call.path == "/v1/datacentres")
-        list_entries(call, entry_kind::data_centre);
-    else if (call.method == "PUT" && team)
-        put_team(call, *team);
-    else if (call.method == "POST" && call.path == "/v1/keys")
-        give_key(call);
-    else if (call.method == "DELETE" && key)
-        withdraw_key(call, *key);
-    else if (call.method == "PUT" && data_centre)
-        put_data_centre(call, *data_centre);
-    else
-        context_.refuse(call.id, {result_code::method_not_allowed, ""});
-    (void)now;
-    return true;
-}
-
-bool config_service::check_operator(const api_call& call)
-{
-    if (equal_constant_time(call.key, context_.identity.operator_key))
-        return true;
-    context_.refuse(call.id, {result_code::operator_key_required, ""});
-    return false;
-}
-
-void config_service::list_entries(const api_call& call, entry_kind kind)
-{
-    json list = json::array();
-    for (const auto& [name, entry] : current_.entries(kind))
-    {
-        if (!entry.value)
-            continue;
-        json item{{"name", name}, {"version", entry.version}};
-        if (kind == entry_kind::key)
-            item["team"] = json::parse(*entry.value, nullptr, false)["team"];
-        else if (kind == entry_kind::team)
-            item["document"] = json::parse(*entry.value, nullptr, false);
-        else
-            item["state"] = *entry.value;
-        list.push_back(item);
-    }
-    context_.reply(
-        call.id, 200,
-        json{{"version", current_.version()}, {"entries", list}}.dump());
-}
-
-void config_service::put_team(const api_call& call, const std::string& team)
-{
-    const auto document = parse_team_document(call.body, team);
-    if (!document)
-    {
-        std::string detail;
-        for (const auto& each : document.error())
-            detail += (detail.empty() ? "" : "; ") + to_string(each);
-        context_.refuse(call.id, {result_code::invalid_document, detail});
-        return;
-    }
-    if (document->team != team)
-    {
-        context_.refuse(call.id, {result_code::invalid_document,
-                                  "the path names another team"});
-        return;
-    }
-    const auto in_force = current_.team_version(team);
-    const auto* existing = current_.find_team(team);
-    if (existing && *existing == *document)
-    {
-        context_.reply(
-            call.id, 200,
-            json{{"team", team}, {"version", in_force}, {"changed", false}}
-                .dump());
-        return;
-    }
-    if (document->base_version != in_force)
-    {
-        context_.refuse(call.id,
-                        {result_code::version_conflict,
-                         fmt::format("based on {}, in force is {}",
-                                     document->base_version, in_force)});
-        return;
-    }
-    enqueue(call, entry_kind::team, team, to_json_text(*document),
-            json{{"team", team}, {"changed", true}}.dump());
-}
-
-void config_service::give_key(const api_call& call)
-{
-    const auto body = json::parse(call.body, nullptr, false);
-    if (!body.is_object() || !body.contains("team") ||
-        !body["team"].is_string())
-    {
-        context_.refuse(call.id,
-                        {result_code::bad_request, "needs a member \"team\""});
-        return;
-    }
-    const auto team = body["team"].get<std::string>();
-    if (!current_.find_team(team))
-    {
-        context_.refuse(call.id, {result_code::not_found, "team " + team});
-        return;
-    }
-    const auto issued = issue_key(team, context_.entropy);
-    enqueue(
-        call, entry_kind::key, issued.record.id, to_json_text(issued.record),
-        json{{"id", issued.record.id}, {"team", team}, {"key", issued.printed}}
-            .dump());
-}
-
-void config_service::withdraw_key(const api_call& call, const std::string& id)
-{
-    const auto& keys = current_.entries(entry_kind::key);
-    const auto found = keys.find(id);
-    if (found == keys.end())
-    {
-        context_.refuse(call.id, {result_code::not_found, "key " + id});
-        return;
-    }
-    enqueue(call, entry_kind::key, id, std::nullopt,
-            json{{"id", id}, {"withdrawn", true}}.dump());
-}
-
-void config_service::put_data_centre(const api_call& call,
-                                     const std::string& name)
-{
-    const auto body = json::parse(call.body, nullptr, false);
-    const bool valid = body.is_object() && body.contains("state") &&
-                       (body["state"] == "in" || body["state"] == "out");
-    if (!valid || !is_valid_name(name))
-    {
-        context_.refuse(call.id,
-                        {result_code::bad_request,
-                         "needs a member \"state\": \"in\" or \"out\""});
-        return;
-    }
-    const auto in_force = current_.data_centre_version(name);
-    if (body.contains("version") && body["version"] != in_force)
-    {
-        context_.refuse(call.id, {result_code::version_conflict,
-                                  fmt::format("in force is {}", in_force)});
-        return;
-    }
-    const auto state = body["state"].get<std::string>();
-    if (current_.is_data_centre_out(name) == (state == "out") && in_force != 0)
-    {
-        context_.reply(call.id, 200,
-                       json{{"data_centre", name},
-                            {"state", state},
-                            {"version", in_force},
-                            {"changed", false}}
-                           .dump());
-        return;
-    }
-    enqueue(call, entry_kind::data_centre, name, state,
-            json{{"data_centre", name}, {"state", state}, {"changed", true}}
-                .dump());
-}
-
-void config_service::enqueue(const api_call& call, entry_kind kind,
-                             const std::string& name,
-                             std::optional<std::string> value,
-                             std::string answer)
-{
-    if (changes_.size() >= max_pending_changes)
-    {
-        context_.refuse(call.id, {result_code::request_ring_full, ""});
-        return;
-    }
-    pending_change pending;
-    pending.call = call.id;
-    pending.change.kind = kind;
-    pending.change.name = name;
-    pending.change.value = std::move(value);
-    pending.answer = std::move(answer);
-    changes_.push_back(std::move(pending));
-    // A change is based on the newest head, so it waits for a poll.
-    if (step_ == load_step::idle && !change_op_)
-        next_poll_ = time_point{};
-}
-
-void config_service::send_next_change()
-{
-    auto& pending = changes_.front();
-    auto& change = pending.change;
-    change.version = current_.version() + 1;
-    change.write_id = context_.entropy.hex(16);
-    const auto text = to_json_text(change);
-    store_commit commit;
-    commit.op = context_.next_op(component::config);
-    commit.writes = {{head_table, head_key, head_row_version_,
-                      json{{"version", change.version}}.dump()},
-                     {log_table, log_key(change.version), 0, text},
-                     {entries_table, entry_key(change.kind, change.name),
-                      std::nullopt, text}};
-    change_op_ = commit.op;
-    context_.out.emplace_back(std::move(commit));
-}
-
-void config_service::on_commit(const store_result& result)
-{
-    auto& pending = changes_.front();
-    switch (result.status)
-    {
-    case store_status::ok:
-        finish_change(nullptr);
-        return;
-    case store_status::conflict:
-    {
-        const error why{result_code::version_conflict,
-                        "another operator changed the configuration"};
-        finish_change(&why);
-        return;
-    }
-    case store_status::not_sent:
-    case store_status::unavailable:
-    {
-        const error why{result_code::store_unavailable, ""};
-        finish_change(&why);
-        return;
-    }
-    case store_status::unknown:
-        pending.reading_back = true;
-        change_op_ = context_.next_op(component::config);
-        context_.out.emplace_back(store_read{*change_op_, log_table,
-                                             log_key(pending.change.version)});
-        return;
-    }
-}
-
-void config_service::on_read_back(const store_result& result)
-{
-    const auto& pending = changes_.front();
-    error why{result_code::store_write_unknown, "read the entry back later"};
-    if (result.status == store_status::ok && !result.rows.empty())
-    {
-        const auto written = config_change_from_json(result.rows.front().value);
-        if (written && written->write_id == pending.change.write_id)
-        {
-            finish_change(nullptr);
-            return;
-        }
-        why = {result_code::version_conflict,
-               "another operator changed the configuration"};
-    }
-    finish_change(&why);
-}
-
-void config_service::finish_change(const error* why)
-{
-    const auto pending = std::move(changes_.front());
-    changes_.pop_front();
-    if (why)
-    {
-        context_.refuse(pending.call, *why);
-    }
-    else
-    {
-        auto answer = json::parse(pending.answer);
-        answer["version"] = pending.change.version;
-        context_.reply(pending.call, 200, answer.dump());
-    }
-    next_poll_ = time_point{}; // Read the new head at once.
+    send_next_change(now);
 }
 
 } // namespace carobcourse
--- a/src/config_service_p.hpp
+++ b/src/config_service_p.hpp
@@ -3,6 +3,7 @@
 
 #include <carobcourse/types.hpp>
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -12,6 +13,8 @@
 namespace carobcourse
 {
 
+struct team_limit_row;
+
 /// Reads the configuration from the table service, states whether it is
 /// fresh, and writes changes. Not thread safe.
 class config_service
@@ -46,13 +49,36 @@
         scanning_log
     };
 
+    enum class change_step : std::uint8_t
+    {
+        waiting,    ///< For a head that is read after the call came.
+        committing, ///< Without a reply it is settled by the next steps.
+        reading_back,
+        excluding, ///< Writes a change of nothing at the same version.
+        settling   ///< Until the next try to settle.
+    };
+
     /// An operator's change on its way to the table.
     struct pending_change
     {
         call_id call = 0;
         config_change change;
+        /// Version of the entry that the change is based on, when stated.
+        std::optional<std::uint64_t> base;
         std::string answer; ///< JSON body once accepted.
-        bool reading_back = false;
+        change_step at = change_step::waiting;
+        time_point not_before;
+        time_point give_up_at;
+        std::uint64_t head_row_version = 0;
+        int conflicts = 0;
+    };
+
+    /// A call that waits for the row of a team's limit.
+    struct limit_read
+    {
+        call_id call = 0;
+        std::string team;
+        bool removes = false;
     };
 
     void read_head(time_point now);
@@ -65,15 +91,40 @@
 
     bool check_operator(const api_call& call);
     void list_entries(const api_call& call, entry_kind kind);
-    void put_team(const api_call& call, const std::string& team);
-    void give_key(const api_call& call);
-    void withdraw_key(const api_call& call, const std::string& id);
-    void put_data_centre(const api_call& call, const std::string& name);
-    void enqueue(const api_call& call, entry_kind kind, const std::string& name,
-                 std::optional<std::string> value, std::string answer);
-    void send_next_change();
-    void on_commit(const store_result& result);
-    void on_read_back(const store_result& result);
+    void read_limit(time_point now, const api_call& call,
+                    const std::string& team, bool removes);
+    void on_limit_read(time_point now, const limit_read& read,
+                       const store_result& result);
+    void remove_team(time_point now, const limit_read& read, bool known,
+                     const std::optional<team_limit_row>& row);
+    void put_team(time_point now, const api_call& call,
+                  const std::string& team);
+    void give_key(time_point now, const api_call& call);
+    void withdraw_key(time_point now, const api_call& call,
+                      const std::string& id);
+    void put_data_centre(time_point now, const api_call& call,
+                         const std::string& name);
+    void enqueue(time_point now, const api_call& call, entry_kind kind,
+                 const std::string& name, std::optional<std::string> value,
+                 std::optional<std::uint64_t> base, std::string answer);
+    std::uint64_t entry_version(const config_change& change) const;
+    bool is_in_force(const config_change& change) const;
+    std::optional<error> check_change(const pending_change& pending) const;
+    void answer_change(const pending_change& pending, std::uint64_t version,
+                       bool changed);
+    void send_next_change(time_point now);
+    void commit_change(const config_change& change,
+                       std::uint64_t head_row_version);
+    /// Returns true when the result was for a change.
+    bool on_change_result(time_point now, const store_result& result);
+    void on_commit(time_point now, const store_result& result);
+    void read_back();
+    void on_read_back(time_point now, const store_result& result);
+    void settle_at(time_point when);
+    void on_change_tick(time_point now);
+    void retry_change(time_point now);
+    /// The table can not be read: changes that were not sent are refused.
+    void refuse_unsent_changes(time_point now);
     void finish_change(const error* why);
 
     core_context& context_;
@@ -89,6 +140,7 @@
 
     std::deque<pending_change> changes_;
     std::optional<op_id> change_op_;
+    std::map<op_id, limit_read> limit_reads_;
 };
 
 } // namespace carobcourse
--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -11,7 +11,7 @@
 
 using json = nlohmann::json;
 
-constexpr const char* kind_names[] = {"team", "key", "datacentre"};
+constexpr const char* kind_names[] = {"team", "key", "datacentre", "none"};
 
 } // namespace
 
@@ -60,6 +60,8 @@
 
 tl::expected<bool, error> configuration::apply(const config_change& change)
 {
+    if (change.kind == entry_kind::none)
+        return false;
     auto& by_name = entries_[change.kind];
     const auto found = by_name.find(change.name);
     if (found != by_name.end() && found->second.version >= change.version)
@@ -104,6 +106,8 @@
     case entry_kind::data_centre:
         data_centre_out_[change.name] = change.value && *change.value == "out";
         return {};
+    case entry_kind::none:
+        return {};
     }
     return {};
 }
@@ -132,8 +136,14 @@
 {
     if (printed_key.empty())
         return tl::make_unexpected(error{result_code::key_missing, ""});
+    // An unknown id costs the same comparison as a known one, so that the
+    // time of a refusal does not tell which ids exist.
+    static const key_record decoy{"", "", std::string(32, '0'),
+                                  std::string(64, '0')};
     const auto found = keys_.find(key_id_of(printed_key));
-    if (found == keys_.end() || !matches(found->second, printed_key))
+    const bool known = found != keys_.end();
+    const bool right = matches(known ? found->second : decoy, printed_key);
+    if (!known || !right)
         return tl::make_unexpected(error{result_code::key_unknown, ""});
     return found->second.team;
 }
--- a/src/configuration_p.hpp
+++ b/src/configuration_p.hpp
@@ -19,7 +19,8 @@
 {
     team,
     key,
-    data_centre
+    data_centre,
+    none ///< A change of nothing; it only takes up a version.
 };
 
 /// One change as written to the configuration log.
--- a/src/core_context.cpp
+++ b/src/core_context.cpp
@@ -13,7 +13,7 @@
                         {"text", description.text},
                         {"ran", to_string(description.ran_state)}};
     if (!why.detail.empty())
-        body["detail"] = why.detail;
+        body["detail"] = without_secrets(why.detail);
     return nlohmann::json{{"error", body}}.dump(
         -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/src/core_context_p.hpp
+++ b/src/core_context_p.hpp
@@ -51,7 +51,7 @@
 
     void log(log_code code, std::string detail)
     {
-        out.emplace_back(log_record{code, std::move(detail)});
+        out.emplace_back(log_record{code, without_secrets(std::move(detail))});
     }
 
     /// Answers a call with a JSON body.
--- a/src/keyring.cpp
+++ b/src/keyring.cpp
@@ -62,6 +62,20 @@
     return printed.substr(prefix_length, id_length);
 }
 
+std::string without_secrets(std::string text)
+{
+    constexpr std::size_t secret_from =
+        sizeof(prefix) - 1 + 2 * id_bytes + 1; // Behind "cck_<id>_".
+    for (auto at = text.find(prefix); at != std::string::npos;
+         at = text.find(prefix, at + 1))
+    {
+        const auto from = at + secret_from;
+        for (auto i = from; i < text.size() && i < from + 2 * secret_bytes; ++i)
+            text[i] = '*';
+    }
+    return text;
+}
+
 bool matches(const key_record& record, const std::string& printed)
 {
     return equal_constant_time(record.mac,
--- a/src/keyring_p.hpp
+++ b/src/keyring_p.hpp
@@ -50,6 +50,10 @@
 /// Compares in constant time. `printed` is what the caller showed.
 bool matches(const key_record& record, const std::string& printed);
 
+/// Returns `text` with the secret part of each printed key in it masked, for
+/// log lines and error details that repeat what a caller sent.
+std::string without_secrets(std::string text);
+
 /// HMAC-SHA256 in lower case hexadecimal.
 std::string hmac_sha256_hex(const std::string& key, const std::string& text);
 
