--- a/tests/test_config_changes.cpp
+++ b/tests/test_config_changes.cpp
@@ -384,3 +384,36 @@
     CHECK(seen.find("\"mac\"") == std::string::npos);
     CHECK(seen.find("\"salt\"") == std::string::npos);
 }
+
+TEST_CASE("mutated bodies of operators' calls end in a numbered answer")
+{
+    // Guards against an exception in the core thread, which ends the process.
+    fake_cell cell(19);
+    add_hosts(cell, 1);
+    std::mt19937_64 random(19);
+    const std::vector<std::pair<std::string, std::string>> calls = {
+        {"POST /v1/keys", R"({"team":"climb"})"},
+        {"PUT /v1/datacentres/north", R"({"state":"out","version":0})"},
+        {"PUT /v1/teams/climb", document("climb", 0, 1000)}};
+    std::vector<call_id> sent;
+    for (int i = 0; i < 3000; ++i)
+    {
+        const auto& [what, good] = calls[random() % calls.size()];
+        auto text = good;
+        for (int n = 0; n < 3; ++n)
+            text[random() % text.size()] = static_cast<char>(random() % 256);
+        const auto space = what.find(' ');
+        sent.push_back(cell.send("n0", what.substr(0, space),
+                                 what.substr(space + 1), operator_key, text));
+        if (i % 50 == 0)
+            cell.run_for(1s);
+    }
+    cell.run_for(60s);
+    for (const auto id : sent)
+    {
+        REQUIRE(cell.answers.count(id) == 1);
+        if (cell.answers[id].http_status != 200)
+            REQUIRE(fake_cell::error_code(cell.answers[id]).substr(0, 3) ==
+                    "CC-");
+    }
+}
