--- a/src/cli_client.cpp
+++ b/src/cli_client.cpp
@@ -116,6 +116,31 @@
 
 // --------------------------------------------------------------------- teams
 
+json flat_document(const team_document& document)
+{
+    return json::parse(to_json_text(document)).flatten();
+}
+
+/// Prints each key that changes, with the old and the new value.
+void print_changes(const team_document* old, const team_document& wanted)
+{
+    const auto before = old ? flat_document(*old) : json::object();
+    const auto after = flat_document(wanted);
+    for (const auto& [key, value] : before.items())
+    {
+        if (!after.contains(key))
+            std::cout << "  " << key << ": " << value.dump() << " -> (none)\n";
+    }
+    for (const auto& [key, value] : after.items())
+    {
+        if (!before.contains(key))
+            std::cout << "  " << key << ": (none) -> " << value.dump() << "\n";
+        else if (before[key] != value)
+            std::cout << "  " << key << ": " << before[key].dump() << " -> "
+                      << value.dump() << "\n";
+    }
+}
+
 int apply_one(const client_options& options, const std::string& path,
               bool dry_run)
 {
@@ -131,27 +156,38 @@
     if (listed.exit_status != exit_code::ok)
         return print(options, listed);
     std::uint64_t in_force = 0;
-    const auto list = json::parse(listed.body);
+    tl::expected<team_document, error> known = tl::make_unexpected(error{});
+    const auto list = json::parse(listed.body, nullptr, false);
+    if (!list.is_object() || !list.contains("entries"))
+        return print(options, {exit_code::refused, listed.body});
     for (const auto& entry : list["entries"])
     {
-        if (entry["name"] == document->team)
-        {
-            in_force = entry["version"].get<std::uint64_t>();
-            const auto known =
-                team_document_from_json(entry["document"].dump());
-            if (known && *known == *document)
-            {
-                std::cout << document->team << ": unchanged, version "
-                          << in_force << "\n";
-                return exit_code::ok;
-            }
-        }
+        if (entry["name"] != document->team)
+            continue;
+        in_force = entry["version"].get<std::uint64_t>();
+        known = team_document_from_json(entry["document"].dump());
+    }
+    if (known && *known == *document)
+    {
+        std::cout << document->team << ": unchanged, version " << in_force
+                  << "\n";
+        return exit_code::ok;
+    }
+    if (known && document->base_version < in_force)
+    {
+        std::cerr << to_string(problem{
+                         path, 0, "version", result_code::version_conflict,
+                         fmt::format("based on version {}, in force is {}",
+                                     document->base_version, in_force)})
+                  << "\n";
+        return exit_code::refused;
     }
     std::cout << document->team << ": "
-              << (in_force == 0 ? "new" : "changes version ");
-    if (in_force != 0)
-        std::cout << in_force;
-    std::cout << "\n";
+              << (known ? fmt::format("changes version {}", in_force)
+                        : std::string("new"))
+              << "\n";
+    print_changes(known ? &*known : nullptr, *document);
+    std::cout.flush();
     if (dry_run)
         return exit_code::ok;
     return print(options,
@@ -182,10 +218,26 @@
     return worst;
 }
 
+void add_team_remove(CLI::App& team, int& exit_status)
+{
+    auto* remove =
+        team.add_subcommand("remove", "Remove a team that is not in use");
+    auto options = add_options(*remove);
+    auto name = std::make_shared<std::string>();
+    remove->add_option("team", *name, "Team")->required();
+    remove->callback(
+        [=, &exit_status]
+        {
+            exit_status =
+                print(*options, call(*options, "DELETE", "/v1/teams/" + *name));
+        });
+}
+
 void add_team_commands(CLI::App& app, int& exit_status)
 {
     auto* team = app.add_subcommand("team", "Team documents");
     team->require_subcommand(1);
+    add_team_remove(*team, exit_status);
 
     auto* apply = team->add_subcommand(
         "apply", "Put documents in force: a file or a directory");
