--- a/include/carobcourse/config.hpp
+++ b/include/carobcourse/config.hpp
@@ -40,6 +40,14 @@
 constexpr std::uint32_t max_tasks_per_job = 10000;
 constexpr std::size_t max_starts_per_pass = 2000;
 
+// Order of waiting work (section 8).
+constexpr auto usage_half_life = 60s;
+/// Part of the decayed past usage that counts beside the usage now. A larger
+/// part keeps shares off their target for longer after demand has changed.
+constexpr double past_usage_part = 0.05;
+/// A team that has started no normal task for this long goes with the urgent.
+constexpr auto ageing_bound = 60s;
+
 // Requests.
 constexpr std::size_t team_queue_capacity = 1024;
 constexpr auto default_request_deadline = 30000ms;
--- a/include/carobcourse/result_code.hpp
+++ b/include/carobcourse/result_code.hpp
@@ -57,6 +57,14 @@
     X(version_conflict, 1501, 409, not_run,                                    \
       "the change is based on an older version")                               \
     X(no_change, 1502, 200, not_applicable, "nothing to change")               \
+    X(waits_for_room, 1601, 200, not_applicable, "no worker has room now")     \
+    X(waits_unrunnable, 1602, 200, not_applicable,                             \
+      "no worker could ever hold a task of this job")                          \
+    X(waits_for_turn, 1603, 200, not_applicable, "other work goes first")      \
+    X(waits_for_preempted, 1604, 200, not_applicable,                          \
+      "batch tasks are being stopped to make room")                            \
+    X(waits_for_gang_room, 1605, 200, not_applicable,                          \
+      "not all tasks of the gang have room at once")                           \
     X(internal_error, 1901, 500, unknown, "internal error")
 
 /// Result of an operation, numbered for callers as CC-<number>.
--- /dev/null
+++ b/src/gang_p.hpp
@@ -0,0 +1,72 @@
+/// Reservation of capacity for one gang that waits.
+#pragma once
+
+#include <carobcourse/types.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "placement_p.hpp"
+
+namespace carobcourse
+{
+
+/// A running task that will end.
+struct expected_end
+{
+    worker_handle worker = no_worker;
+    resources amount;
+    time_point at;
+};
+
+/// Where and when a gang is expected to start. At most one gang has a
+/// reservation, so two gangs never wait for each other. The reservation holds
+/// no capacity: it only keeps tasks that would end after `start` from the
+/// capacity that the gang needs at that time. Not thread safe.
+class gang_reservation
+{
+public:
+    /// Plans the earliest start for `tasks` tasks. No value when even the end
+    /// of all of `ends` leaves too little room.
+    static std::optional<gang_reservation>
+    plan(const placement_index& index, const std::string& job,
+         const resources& amount, std::uint32_t tasks,
+         std::vector<expected_end> ends, time_point now);
+
+    const std::string& job() const
+    {
+        return job_;
+    }
+    time_point start() const
+    {
+        return start_;
+    }
+
+    /// Hides the reserved capacity from the index until `unmask`.
+    void mask(placement_index& index);
+    void unmask(placement_index& index);
+    /// Gives one worker its true free amount back, before a start on it.
+    void restore(placement_index& index, worker_handle worker);
+    /// To be called when a masked index got the true free amount of a worker
+    /// again, after a start.
+    void refresh(placement_index& index, worker_handle worker);
+    /// Reserved worker whose free amount has room now for a task that ends
+    /// before the start.
+    worker_handle backfill(const resources& amount) const;
+
+private:
+    struct reserved_worker
+    {
+        resources beyond; ///< Left at the start, beside the gang.
+        resources free;   ///< True free amount while masked.
+    };
+    std::string job_;
+    time_point start_;
+    std::map<worker_handle, reserved_worker> workers_;
+};
+
+/// Number of tasks of `amount` that `free` holds.
+std::int64_t tasks_in(const resources& free, const resources& amount);
+
+} // namespace carobcourse
--- a/src/placement_p.hpp
+++ b/src/placement_p.hpp
@@ -99,6 +99,16 @@
     /// Workers whose free capacity grew since the last call. A worker may be
     /// listed twice or be gone by now.
     std::vector<worker_handle> take_grown();
+    /// Calls `visit(handle)` for every worker, in order of handles.
+    template <class Visit>
+    void for_each(Visit&& visit) const
+    {
+        for (worker_handle handle = 0; handle < workers_.size(); ++handle)
+        {
+            if (workers_[handle].used)
+                visit(handle);
+        }
+    }
     bool is_used(worker_handle handle) const
     {
         return handle < workers_.size() && workers_[handle].used;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,30 +1,16 @@
 #include "policy_p.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
+#include "gang_p.hpp"
+
 namespace carobcourse
 {
 
 namespace
 {
 
-/// Number of tasks of `amount` that `free` holds.
-std::int64_t tasks_in(const resources& free, const resources& amount)
-{
-    auto most = std::numeric_limits<std::int64_t>::max();
-    const auto limit = [&most](std::int64_t have, std::int64_t want)
-    {
-        if (want > 0)
-            most = std::min(most, have / want);
-    };
-    limit(free.cpu_millis, amount.cpu_millis);
-    limit(free.memory_mb, amount.memory_mb);
-    limit(free.accelerators, amount.accelerators);
-    return most;
-}
-
 /// Packs tightly, which keeps large holes for large tasks.
 class batch_policy final : public placement_policy
 {
--- /dev/null
+++ b/src/policy_dispatcher_p.hpp
@@ -0,0 +1,125 @@
+/// Decides which waiting tasks of a shard start, where, and what is stopped
+/// for them.
+#pragma once
+
+#include <carobcourse/result_code.hpp>
+#include <carobcourse/types.hpp>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fair_share_p.hpp"
+#include "gang_p.hpp"
+#include "job_queue_p.hpp"
+#include "policy_p.hpp"
+#include "policy_preemption_p.hpp"
+#include "usage_model_p.hpp"
+
+namespace carobcourse
+{
+
+/// What the dispatcher knows of a job.
+struct dispatch_job
+{
+    queued_job queued;
+    bool checkpoints = false;
+    duration declared_run{};
+};
+
+/// The dispatcher's view of the shard.
+class dispatch_port
+{
+public:
+    virtual ~dispatch_port() = default;
+    /// Returns false when the task waits no longer.
+    virtual bool describe(const task_id& task, dispatch_job& job) = 0;
+    /// Tasks of a gang that wait.
+    virtual std::vector<task_id> waiting_of(const std::string& job) = 0;
+    /// True when the team may start `tasks` more tasks of `amount`.
+    virtual bool may_start(const dispatch_job& job, std::uint32_t tasks) = 0;
+    /// Reserves the capacity and starts the task.
+    virtual void start(const task_id& task, const std::string& worker,
+                       const char* why) = 0;
+    virtual void preempt(const task_id& task, bool checkpoint) = 0;
+    /// The task was tried and waits because of `code`.
+    virtual void waits(const task_id& task, result_code code,
+                       const std::string& detail) = 0;
+};
+
+/// Aggregate of the queue, the shares, the running tasks and the reservation
+/// of a gang. Does no I/O. Not thread safe.
+class dispatcher
+{
+public:
+    /// The task waits.
+    void insert(const task_id& task)
+    {
+        queue_.insert(task);
+    }
+    /// The task waits no longer.
+    void erase(const task_id& task);
+    void clear();
+
+    /// The task runs on the worker; no effect when that is known.
+    void running(time_point now, const task_id& task, const dispatch_job& job,
+                 const std::string& worker);
+    /// The task runs no longer. Its run time is learned when it `succeeded`.
+    void ended(time_point now, const task_id& task, bool succeeded);
+
+    /// One pass over what waits. Returns the number of tries.
+    std::size_t schedule(time_point now, placement_index& index,
+                         dispatch_port& port, std::size_t max_tries);
+
+    fair_share& shares()
+    {
+        return shares_;
+    }
+    usage_model& usage()
+    {
+        return usage_;
+    }
+    /// Team, kind and size of a running task, for reports of its usage.
+    void observe_size(const task_id& task, const resources& used);
+
+private:
+    struct running_task
+    {
+        dispatch_job job;
+        std::string worker;
+        time_point started;
+        duration estimate{};
+    };
+
+    try_result try_task(time_point now, placement_index& index,
+                        dispatch_port& port, const task_id& task);
+    try_result try_gang(time_point now, placement_index& index,
+                        dispatch_port& port, const task_id& task,
+                        const dispatch_job& job);
+    try_result preempt_for(time_point now, placement_index& index,
+                           dispatch_port& port, const task_id& task,
+                           const dispatch_job& job);
+    void start(time_point now, placement_index& index, dispatch_port& port,
+               const task_id& task, const dispatch_job& job,
+               const placement& where);
+    void reserve(time_point now, const placement_index& index,
+                 const std::string& job, const dispatch_job& of,
+                 std::uint32_t tasks);
+    duration expected_run(const dispatch_job& job) const;
+
+    job_queue queue_;
+    fair_share shares_;
+    usage_model usage_;
+    preemption_book preemptible_;
+    std::map<task_id, running_task> running_;
+    /// Running tasks of each service job per rack name.
+    std::map<std::string, std::map<std::string, std::uint32_t>> racks_;
+    std::map<task_id, std::string> rack_of_;
+    /// Urgent tasks that wait for stopped tasks, and when that was asked.
+    std::map<task_id, time_point> preempting_;
+    std::optional<gang_reservation> reservation_;
+    time_point next_plan_; ///< Of the reservation.
+};
+
+} // namespace carobcourse
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -1,63 +1,145 @@
 // Order and placement of waiting tasks.
-#include "policy_p.hpp"
+#include <fmt/format.h>
+
+#include "policy_dispatcher_p.hpp"
 #include "shard_scheduler_p.hpp"
 
 namespace carobcourse
 {
 
+namespace
+{
+
+dispatch_job describe_job(const job_record& job)
+{
+    dispatch_job result;
+    result.queued.team = job.spec.team;
+    result.queued.kind = job.spec.kind;
+    result.queued.urgency = job.spec.urgency;
+    result.queued.tasks = job.spec.tasks;
+    result.queued.amount = job.spec.amount;
+    result.queued.accepted_at = job.accepted_at;
+    result.checkpoints = job.spec.checkpoints;
+    result.declared_run = std::chrono::milliseconds(job.spec.run_ms);
+    return result;
+}
+
+} // namespace
+
+/// The shard as the dispatcher sees it.
+class shard_scheduler::port final : public dispatch_port
+{
+public:
+    port(shard_scheduler& shard, time_point now) : shard_(shard), now_(now) {}
+
+    bool describe(const task_id& task, dispatch_job& job) override
+    {
+        const auto found = shard_.jobs_.find(task.job);
+        if (found == shard_.jobs_.end() ||
+            found->second.tasks[task.index].state != task_state::waiting)
+            return false;
+        job = describe_job(found->second);
+        const auto* team = shard_.config_.current().find_team(job.queued.team);
+        if (team)
+            shard_.waiting_.shares().set_weight(team->team, team->weight);
+        return true;
+    }
+
+    std::vector<task_id> waiting_of(const std::string& job) override
+    {
+        std::vector<task_id> result;
+        const auto& tasks = shard_.jobs_.at(job).tasks;
+        for (std::uint32_t i = 0; i < tasks.size(); ++i)
+        {
+            if (tasks[i].state == task_state::waiting)
+                result.push_back({job, i});
+        }
+        return result;
+    }
+
+    bool may_start(const dispatch_job&, std::uint32_t) override
+    {
+        return true;
+    }
+
+    void start(const task_id& id, const std::string& worker,
+               const char* why) override
+    {
+        auto& job = shard_.jobs_.at(id.job);
+        auto& task = job.tasks[id.index];
+        start_task start;
+        start.attempt = {id, task.attempt + 1};
+        start.team = job.spec.team;
+        start.kind = job.spec.kind;
+        start.amount = job.spec.amount;
+        start.payload = job.spec.payload;
+        start.checkpoint = task.checkpoint;
+        start.run_ms = job.spec.run_ms;
+        task.attempt = start.attempt.attempt;
+        task.state = task_state::starting;
+        task.worker = worker;
+        task.detail = why;
+        job.reason.clear();
+        auto& counters = shard_.context_.counters;
+        counters.count("carobcourse_task_starts_total");
+        counters.observe("carobcourse_task_wait_seconds",
+                         now_ - job.accepted_at);
+        shard_.workers_.start(worker, std::move(start));
+        shard_.task_changed(id.job);
+    }
+
+    void preempt(const task_id& id, bool checkpoint) override
+    {
+        const auto found = shard_.jobs_.find(id.job);
+        if (found == shard_.jobs_.end())
+            return;
+        auto& task = found->second.tasks[id.index];
+        if (task.state != task_state::starting &&
+            task.state != task_state::running)
+            return;
+        shard_.workers_.stop(task.worker, {id, task.attempt}, checkpoint);
+        task.state = task_state::stopping;
+        shard_.context_.counters.count("carobcourse_task_preemptions_total");
+        shard_.task_changed(id.job);
+    }
+
+    void waits(const task_id& id, result_code code,
+               const std::string& detail) override
+    {
+        auto reason = to_string(code) + " " + info(code).text;
+        if (!detail.empty())
+            reason += ": " + detail;
+        shard_.jobs_.at(id.job).reason = std::move(reason);
+    }
+
+private:
+    shard_scheduler& shard_;
+    time_point now_;
+};
+
 void shard_scheduler::schedule(time_point now)
 {
     if (stopping_ || !active_ || !ownership_.is_owner(now) ||
         !config_.check_usable(now) || !workers_.is_recovered(now) ||
         config_.current().is_data_centre_out(context_.identity.data_centre))
         return;
-    std::size_t passes = 0;
-    for (auto it = waiting_.begin();
-         it != waiting_.end() && passes < config::max_starts_per_pass; ++passes)
-    {
-        const auto found = jobs_.find(it->job);
-        if (found == jobs_.end() || place_task(now, found->second, it->index))
-            it = waiting_.erase(it);
-        else
-            ++it;
-    }
+    port view(*this, now);
+    waiting_.schedule(now, workers_.index(), view, config::max_starts_per_pass);
 }
 
-bool shard_scheduler::place_task(time_point now, job_record& job,
-                                 std::uint32_t index)
+void shard_scheduler::track(time_point now, const attempt_news& news)
 {
-    auto& free = workers_.index();
-    placement_request request;
-    request.amount = job.spec.amount;
-    const auto chosen = policy_for(job.spec.kind).choose(free, request);
-    if (chosen.empty())
-    {
-        job.reason = free.could_ever_fit(job.spec.amount)
-                         ? "no worker has room"
-                         : "no worker could ever hold a task";
-        return false;
-    }
-    const auto worker = free.name(chosen.front().worker);
-    auto& task = job.tasks[index];
-    start_task start;
-    start.attempt = {{job.spec.id, index}, task.attempt + 1};
-    start.team = job.spec.team;
-    start.kind = job.spec.kind;
-    start.amount = job.spec.amount;
-    start.payload = job.spec.payload;
-    start.checkpoint = task.checkpoint;
-    start.run_ms = job.spec.run_ms;
-    task.attempt = start.attempt.attempt;
-    task.state = task_state::starting;
-    task.worker = worker;
-    task.detail = chosen.front().why;
-    job.reason.clear();
-    context_.counters.count("carobcourse_task_starts_total");
-    context_.counters.observe("carobcourse_task_wait_seconds",
-                              now - job.accepted_at);
-    workers_.start(worker, std::move(start));
-    task_changed(job.spec.id);
-    return true;
+    const auto& id = news.attempt.task;
+    const auto found = jobs_.find(id.job);
+    if (found == jobs_.end() || id.index >= found->second.tasks.size() ||
+        news.attempt.attempt < found->second.tasks[id.index].attempt)
+        return;
+    if (news.what == attempt_news::kind::running)
+        waiting_.running(now, id, describe_job(found->second), news.worker);
+    else
+        waiting_.ended(now, id,
+                       news.what == attempt_news::kind::finished &&
+                           news.outcome == task_outcome::succeeded);
 }
 
 } // namespace carobcourse
--- a/src/shard_scheduler.cpp
+++ b/src/shard_scheduler.cpp
@@ -99,7 +99,10 @@
     if (!owner)
         return;
     for (const auto& news : workers_.on_tick(now))
+    {
+        track(now, news);
         apply(news);
+    }
     if (active_)
     {
         poll_inbox(now);
@@ -259,7 +262,12 @@
                                        const worker_result& result)
 {
     for (const auto& news : workers_.on_result(now, result))
+    {
+        track(now, news);
         apply(news);
+    }
+    for (const auto& usage : result.reply.usage)
+        waiting_.observe_size(usage.attempt.task, usage.used);
     if (!ownership_.is_owner(now))
         return;
     schedule(now);
--- a/src/shard_scheduler_p.hpp
+++ b/src/shard_scheduler_p.hpp
@@ -13,6 +13,7 @@
 #include "core_context_p.hpp"
 #include "job_p.hpp"
 #include "ownership_p.hpp"
+#include "policy_dispatcher_p.hpp"
 #include "worker_book_p.hpp"
 
 namespace carobcourse
@@ -85,7 +86,9 @@
 
     // Scheduling.
     void schedule(time_point now);
-    bool place_task(time_point now, job_record& job, std::uint32_t index);
+    class port;
+    /// Keeps the shares and the learned run times up to date.
+    void track(time_point now, const attempt_news& news);
     void cancel_job(job_record& job);
     void apply(const attempt_news& news);
     void apply_finished(job_record& job, std::uint32_t index,
@@ -106,7 +109,7 @@
     bool stopping_ = false;
     std::uint64_t active_epoch_ = 0;
     std::map<std::string, job_record> jobs_;
-    std::set<task_id> waiting_;
+    dispatcher waiting_;
     std::set<std::string> dirty_;
     std::set<std::string> writing_;
     time_point next_inbox_;
