--- a/src/shard_scheduler.cpp
+++ b/src/shard_scheduler.cpp
@@ -116,7 +116,10 @@
         return;
     }
     for (const auto& news : workers_.on_tick(now))
+    {
+        track(now, news);
         apply(news);
+    }
     allotments_.on_tick(now);
     if (active_)
     {
@@ -222,7 +225,10 @@
     loading_ = false;
     active_ = true;
     for (const auto& news : std::exchange(early_news_, {}))
+    {
+        track(now, news);
         apply(news);
+    }
 }
 
 job_record* shard_scheduler::adopt(time_point now, const std::string& value,
@@ -440,7 +446,12 @@
                                        const worker_result& result)
 {
     for (const auto& news : workers_.on_result(now, result))
+    {
+        track(now, news);
         apply(news);
+    }
+    for (const auto& usage : result.reply.usage)
+        waiting_.observe_size(usage.attempt.task, usage.used);
     if (!ownership_.is_owner(now))
         return;
     if (active_epoch_ != 0 && workers_.highest_epoch_seen() > active_epoch_)
--- a/src/shard_scheduler_p.hpp
+++ b/src/shard_scheduler_p.hpp
@@ -15,6 +15,7 @@
 #include "job_journal_p.hpp"
 #include "job_p.hpp"
 #include "ownership_p.hpp"
+#include "policy_dispatcher_p.hpp"
 #include "worker_book_p.hpp"
 
 namespace carobcourse
@@ -126,11 +127,13 @@
 
     // Scheduling.
     void schedule(time_point now);
-    bool place_task(time_point now, job_record& job, std::uint32_t index);
     /// Makes a waiting task eligible for placement, unless its job is held.
     void enqueue(const job_record& job, std::uint32_t index);
     void dequeue(const task_id& task);
     void enqueue_all(const job_record& job);
+    class port;
+    /// Keeps the shares and the learned run times up to date.
+    void track(time_point now, const attempt_news& news);
     void cancel_job(job_record& job);
     void stop_excess();
     void apply(const attempt_news& news);
@@ -161,7 +164,7 @@
     bool stopping_ = false;
     std::uint64_t active_epoch_ = 0;
     std::map<std::string, job_record> jobs_;
-    std::set<task_id> waiting_;
+    dispatcher waiting_;
     std::set<std::string> dirty_;
     job_journal journal_;
     std::map<std::string, unsettled> unsettled_; ///< By job.
