Link the entry hosts: membership, grants, freshness and ownership without the store

An outage of the table service stopped all keyed work after 4 s and all shards after 10 s, because reading and writing the table was the only source of freshness and ownership.

Links: a peer_link over WebSocket with CBOR frames. Both sides prove knowledge of the cluster secret; the MAC names the role and both hosts, so it can not be reflected. Frames are checked for depth before they are decoded, as the decoder recurses.

Membership: one row for each entry host, heartbeats every second, removal of rows that the host list dropped, the own row deleted at a planned stop.

Grants: a promise travels in the answer to a heartbeat, and its holder counts it from before the heartbeat was sent, so no message delay can lengthen it. Grants name a round that each announced change raises, so one that the announcement overtakes has no effect. The promise against changes and the promise against takeovers are separate: a change with an unknown outcome must void the first and need not cost a shard. Grants of the others count only after an own read of the table that is newer than the last removal or restart of a member, because that member may have committed a change that nobody else has seen.

A renewal of ownership whose reply was lost now keeps the epoch. It raised it, and the shard was loaded again after each store outage; the outage test saw it as an additional acquisition.

--- a/include/carobcourse/config.hpp
+++ b/include/carobcourse/config.hpp
@@ -21,6 +21,26 @@
 // Membership.
 constexpr auto host_list_poll_period = 1000ms;
 constexpr auto heartbeat_period = 1000ms;
+constexpr auto member_scan_period = 2000ms;
+/// A promise between entry hosts, counted on the granter's clock. The holder
+/// relies on it for a shorter time, counted from before it asked.
+constexpr auto grant_promise = 4000ms;
+constexpr auto grant_freshness_bound = 3000ms;
+/// Longer than a promise of the incarnation before.
+constexpr auto restart_quiet_period = 5000ms;
+constexpr std::size_t recent_changes_kept = 1024;
+constexpr std::size_t config_entries_batch = 64;
+
+// Links between entry hosts.
+constexpr std::size_t peer_ring_capacity = 256;
+constexpr std::size_t max_peer_frame_bytes = std::size_t{1024} * 1024;
+constexpr std::size_t max_peer_handshake_bytes = 4096;
+constexpr std::size_t max_peer_connections = 1024;
+/// Bytes buffered in a connection above which its ring holds messages back.
+constexpr std::size_t peer_send_buffer_bytes = std::size_t{256} * 1024;
+constexpr auto peer_handshake_timeout = 2000ms;
+constexpr auto peer_reconnect_min = 100ms;
+constexpr auto peer_reconnect_max = 2000ms;
 
 // Ownership of shards and leases of workers (section 5).
 constexpr auto ownership_lease = 10000ms;
--- a/src/config_service.cpp
+++ b/src/config_service.cpp
@@ -1,5 +1,6 @@
 #include "config_service_p.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -38,7 +39,20 @@
 
 bool config_service::is_fresh(time_point now) const
 {
-    return current_.is_loaded() && fresh_until_ && now < *fresh_until_;
+    if (!current_.is_loaded())
+        return false;
+    if (confirmed_at_ && now < *confirmed_at_ + config::config_freshness_bound)
+        return true;
+    return is_granted(now);
+}
+
+bool config_service::is_granted(time_point now) const
+{
+    const auto& grants = context_.grants;
+    const auto until = grants.confirmed_until();
+    return until && now < *until &&
+           grants.highest_version() <= current_.version() && own_read_at_ &&
+           *own_read_at_ >= grants.removed_at();
 }
 
 tl::expected<void, error> config_service::check_usable(time_point now) const
@@ -52,6 +66,12 @@
 
 void config_service::on_tick(time_point now)
 {
+    if (change_waits_ && context_.grants.may_change(now))
+    {
+        // A change is based on the newest head.
+        change_waits_ = false;
+        next_poll_ = now;
+    }
     if (step_ == load_step::idle && now >= next_poll_)
         read_head(now);
     const bool fresh = is_fresh(now);
@@ -77,6 +97,10 @@
     if (change_op_ && result.op == *change_op_)
     {
         change_op_.reset();
+        change_unresolved_ = changes_.front().reading_back
+                                 ? result.status != store_status::ok
+                                 : result.status == store_status::unknown;
+        change_ended_at_ = now;
         if (changes_.front().reading_back)
             on_read_back(result);
         else
@@ -109,6 +133,11 @@
 void config_service::poll_failed(time_point)
 {
     step_ = load_step::idle;
+    change_waits_ = false;
+    // While the table is out of reach no change can be written, so peers may
+    // rely on this host again, unless the outcome of a change is unknown.
+    if (!change_op_ && !change_unresolved_)
+        context_.grants.end_change();
     context_.counters.count("carobcourse_config_poll_failures_total");
 }
 
@@ -170,11 +199,8 @@
     const auto before = current_.version();
     for (const auto& row : result.rows)
     {
-        const auto change = config_change_from_json(row.value);
-        if (!change || change->version != current_.version() + 1)
+        if (!apply_logged(row.value))
             break;
-        current_.apply(*change);
-        current_.advance(change->version);
     }
     if (current_.version() < head_version_)
     {
@@ -189,16 +215,101 @@
     caught_up(now);
 }
 
-void config_service::caught_up(time_point)
+/// Applies the next change and keeps its text for peers. A change that is in
+/// force already is passed over. False when one is missing before it.
+bool config_service::apply_logged(const std::string& text)
+{
+    const auto change = config_change_from_json(text);
+    if (!change || change->version > current_.version() + 1)
+        return false;
+    if (change->version <= current_.version())
+        return true;
+    current_.apply(*change);
+    current_.advance(change->version);
+    recent_.emplace_back(change->version, text);
+    if (recent_.size() > config::recent_changes_kept)
+        recent_.pop_front();
+    return true;
+}
+
+void config_service::caught_up(time_point now)
 {
     step_ = load_step::idle;
-    fresh_until_ = poll_started_ + config::config_freshness_bound;
+    own_read_at_ = poll_started_;
+    confirmed_at_ =
+        std::max(confirmed_at_.value_or(poll_started_), poll_started_);
     context_.counters.gauge("carobcourse_config_version",
                             static_cast<double>(current_.version()));
-    if (!changes_.empty() && !change_op_)
+    pass_gate(now);
+}
+
+void config_service::pass_gate(time_point now)
+{
+    if (change_op_)
+        return;
+    auto& grants = context_.grants;
+    if (changes_.empty())
+    {
+        // A read that began before the change ended may not show it yet.
+        if (poll_started_ < change_ended_at_)
+            return;
+        change_unresolved_ = false;
+        grants.end_change();
+        return;
+    }
+    if (head_version_ != current_.version())
+    {
+        // A peer was faster than the read; the next one has the new head.
+        next_poll_ = now;
+        return;
+    }
+    grants.begin_change();
+    change_waits_ = !grants.may_change(now);
+    if (!change_waits_)
         send_next_change();
 }
 
+void config_service::on_peer_confirmation(std::uint64_t version,
+                                          time_point confirmed_at)
+{
+    if (current_.is_loaded() && current_.version() >= version)
+        confirmed_at_ =
+            std::max(confirmed_at_.value_or(confirmed_at), confirmed_at);
+}
+
+std::vector<std::string>
+config_service::recent_changes(std::uint64_t after) const
+{
+    std::vector<std::string> texts;
+    if (recent_.empty() || recent_.front().first > after + 1)
+        return texts;
+    for (const auto& [version, text] : recent_)
+    {
+        if (version > after && texts.size() < config::config_entries_batch)
+            texts.push_back(text);
+    }
+    return texts;
+}
+
+bool config_service::apply_from_peer(const std::vector<std::string>& changes)
+{
+    const auto before = current_.version();
+    if (!current_.is_loaded())
+        return false;
+    for (const auto& text : changes)
+    {
+        if (!apply_logged(text))
+            break;
+    }
+    if (current_.version() == before)
+        return false;
+    context_.counters.gauge("carobcourse_config_version",
+                            static_cast<double>(current_.version()));
+    context_.log(log_code::config_applied,
+                 fmt::format("version {}", current_.version()));
+    return true;
+}
+
 // ---------------------------------------------------------- operators' calls
 
 bool config_service::on_call(time_point now, const api_call& call)
--- a/src/config_service_p.hpp
+++ b/src/config_service_p.hpp
@@ -5,6 +5,8 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "configuration_p.hpp"
 #include "core_context_p.hpp"
@@ -30,6 +32,31 @@
     /// Checks that keyed work may be accepted now.
     tl::expected<void, error> check_usable(time_point now) const;
 
+    /// Latest time at which the version in force is known to have been that
+    /// of the table, by an own read or one relayed by a peer.
+    std::optional<time_point> confirmed_at() const
+    {
+        return confirmed_at_;
+    }
+    /// True once the table was read by this process.
+    bool has_read_table() const
+    {
+        return own_read_at_.has_value();
+    }
+    /// A peer knows that `version` was the table's at `confirmed_at`.
+    void on_peer_confirmation(std::uint64_t version, time_point confirmed_at);
+    /// Changes after `after` as JSON texts, oldest first; empty when they are
+    /// no longer kept.
+    std::vector<std::string> recent_changes(std::uint64_t after) const;
+    /// Applies changes from a peer that follow the version in force without
+    /// a gap. Returns false when nothing was applied.
+    bool apply_from_peer(const std::vector<std::string>& changes);
+    /// Reads the table at the next tick.
+    void poll_soon()
+    {
+        next_poll_ = time_point{};
+    }
+
     void on_tick(time_point now);
     void on_store_result(time_point now, const store_result& result);
 
@@ -62,6 +89,9 @@
     void scan_log(std::uint64_t after);
     void poll_failed(time_point now);
     void caught_up(time_point now);
+    void pass_gate(time_point now);
+    bool is_granted(time_point now) const;
+    bool apply_logged(const std::string& text);
 
     bool check_operator(const api_call& call);
     void list_entries(const api_call& call, entry_kind kind);
@@ -82,10 +112,16 @@
     op_id poll_op_;
     time_point poll_started_;
     time_point next_poll_;
-    std::optional<time_point> fresh_until_;
+    std::optional<time_point> confirmed_at_;
+    std::optional<time_point> own_read_at_;
+    std::deque<std::pair<std::uint64_t, std::string>> recent_;
     std::uint64_t head_version_ = 0;
     std::uint64_t head_row_version_ = 0;
     bool was_fresh_ = false;
+    /// A change waits for the gate, or its outcome is not known yet.
+    bool change_waits_ = false;
+    bool change_unresolved_ = false;
+    time_point change_ended_at_;
 
     std::deque<pending_change> changes_;
     std::optional<op_id> change_op_;
--- a/src/core_context_p.hpp
+++ b/src/core_context_p.hpp
@@ -13,6 +13,7 @@
 #include "event_p.hpp"
 #include "keyring_p.hpp"
 #include "metrics_p.hpp"
+#include "peer_grants_p.hpp"
 
 namespace carobcourse
 {
@@ -42,6 +43,7 @@
     std::mt19937_64 random;
     entropy_source& entropy;
     metrics counters;
+    peer_grants grants;
     effects out;
 
     op_id next_op(component owner)
--- a/src/entry_host.cpp
+++ b/src/entry_host.cpp
@@ -10,7 +10,8 @@
 entry_host::entry_host(host_identity identity, std::uint64_t seed,
                        entropy_source& entropy)
     : context_(std::move(identity), seed, entropy), config_(context_),
-      requests_(context_, config_), scheduler_(context_, config_)
+      members_(context_, config_), requests_(context_, config_),
+      scheduler_(context_, config_)
 {
 }
 
@@ -29,6 +30,7 @@
         host_list_in_flight_ = true;
         context_.out.emplace_back(list_hosts{});
     }
+    members_.on_tick(now);
     config_.on_tick(now);
     scheduler_.on_tick(now);
     requests_.on_tick(now);
@@ -88,6 +90,9 @@
     case component::config:
         config_.on_store_result(now, result);
         break;
+    case component::members:
+        members_.on_store_result(now, result);
+        break;
     case component::requests:
         requests_.on_store_result(now, result);
         break;
@@ -107,6 +112,7 @@
         return;
     }
     hosts_known_ = true;
+    members_.on_hosts(result.hosts);
     scheduler_.on_hosts(now, result.hosts);
     requests_.on_hosts(now, result.hosts);
 }
@@ -122,9 +128,28 @@
     check_drained(now);
 }
 
-void entry_host::on_event(time_point, const peer_received&) {}
+void entry_host::on_event(time_point now, const peer_received& message)
+{
+    members_.on_message(now, message);
+}
 
-void entry_host::on_event(time_point, const peer_state&) {}
+void entry_host::on_event(time_point, const peer_state& state)
+{
+    members_.on_link(state);
+}
+
+void entry_host::on_event(time_point, const peer_refusals& refusals)
+{
+    std::string detail;
+    for (const auto& [reason, count] : refusals.counts)
+    {
+        context_.counters.count("carobcourse_peer_refusals_total", reason,
+                                count);
+        detail +=
+            fmt::format("{}{}={}", detail.empty() ? "" : " ", reason, count);
+    }
+    context_.log(log_code::peer_refused, detail);
+}
 
 void entry_host::on_event(time_point now, const stop_request&)
 {
@@ -150,6 +175,9 @@
     const bool drained = is_drained();
     if (!drained && now < drain_until_)
         return;
+    members_.leave(now);
+    if (!members_.has_left(now))
+        return;
     if (!drained)
         context_.log(log_code::drain_deadline, "");
     stopped_ = true;
--- a/src/entry_host_p.hpp
+++ b/src/entry_host_p.hpp
@@ -6,6 +6,7 @@
 #include "config_service_p.hpp"
 #include "core_context_p.hpp"
 #include "event_p.hpp"
+#include "membership_p.hpp"
 #include "request_service_p.hpp"
 #include "shard_scheduler_p.hpp"
 
@@ -39,6 +40,7 @@
     void on_event(time_point now, const execute_result& result);
     void on_event(time_point now, const peer_received& message);
     void on_event(time_point now, const peer_state& state);
+    void on_event(time_point now, const peer_refusals& refusals);
     void on_event(time_point now, const stop_request&);
 
     void answer_health(time_point now, const api_call& call);
@@ -47,6 +49,7 @@
 
     core_context context_;
     config_service config_;
+    membership members_;
     request_service requests_;
     shard_scheduler scheduler_;
     time_point next_host_list_;
--- a/src/event_p.hpp
+++ b/src/event_p.hpp
@@ -339,6 +339,13 @@
     bool connected = false;
 };
 
+/// What the peer links refused or dropped since the last such event, counted
+/// by reason.
+struct peer_refusals
+{
+    std::map<std::string, std::uint64_t> counts;
+};
+
 // -------------------------------------------------------------------- other
 
 struct timer_tick
@@ -360,9 +367,10 @@
 {
 };
 
-using event = std::variant<timer_tick, api_call, call_abandoned, store_result,
-                           host_list_result, worker_result, execute_result,
-                           peer_received, peer_state, stop_request>;
+using event =
+    std::variant<timer_tick, api_call, call_abandoned, store_result,
+                 host_list_result, worker_result, execute_result, peer_received,
+                 peer_state, peer_refusals, stop_request>;
 
 using effect = std::variant<api_reply, store_commit, store_read, store_scan,
                             list_hosts, worker_sync, execute_request, set_peers,
--- a/src/log_event_p.hpp
+++ b/src/log_event_p.hpp
@@ -24,6 +24,11 @@
     X(config_applied, 2101, info, "a configuration version is in force")       \
     X(config_stale, 2102, warning, "the configuration is no longer fresh")     \
     X(config_fresh, 2103, info, "the configuration is fresh again")            \
+    X(member_registered, 2104, info, "this host is registered as a member")    \
+    X(member_joined, 2105, info, "an entry host has joined")                   \
+    X(member_left, 2106, info, "an entry host is no longer a member")          \
+    X(member_superseded, 2107, error,                                          \
+      "another process has registered with the id of this host")               \
     X(store_down, 2201, warning, "the table service does not answer")          \
     X(store_up, 2202, info, "the table service answers again")                 \
     X(shard_acquired, 2301, info, "this host owns a shard")                    \
@@ -33,7 +38,10 @@
     X(job_accepted, 2401, info, "a job is durable")                            \
     X(job_ended, 2402, info, "a job has ended")                                \
     X(request_unknown, 2501, warning, "the outcome of a request is unknown")   \
-    X(answer_dropped, 2502, warning, "an answer named another attempt")
+    X(answer_dropped, 2502, warning, "an answer named another attempt")        \
+    X(peer_connected, 2601, info, "a link to an entry host is up")             \
+    X(peer_lost, 2602, warning, "a link to an entry host is down")             \
+    X(peer_refused, 2603, warning, "messages of peers were refused or dropped")
 
 enum class log_code : std::uint16_t
 {
--- /dev/null
+++ b/src/membership_p.hpp
@@ -0,0 +1,101 @@
+/// Membership of the entry hosts: rows in the table, heartbeats, the spread
+/// of configuration changes and the exchange of grants.
+#pragma once
+
+#include <carobcourse/types.hpp>
+#include <deque>
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config_service_p.hpp"
+#include "core_context_p.hpp"
+
+namespace carobcourse
+{
+
+/// Registers this host, follows the rows of the others and talks to them.
+/// The state of the promises is in `core_context::grants`. Not thread safe.
+class membership
+{
+public:
+    membership(core_context& context, config_service& config);
+
+    void on_tick(time_point now);
+    void on_store_result(time_point now, const store_result& result);
+    /// Takes the host list, when it could be read.
+    void on_hosts(const std::vector<host_entry>& hosts);
+    void on_message(time_point now, const peer_received& message);
+    void on_link(const peer_state& state);
+
+    /// Deletes the own row at a planned stop; no change is made after it.
+    void leave(time_point now);
+    /// True when the row is deleted or the deletion has failed.
+    bool has_left(time_point now) const;
+
+private:
+    enum class registration : std::uint8_t
+    {
+        absent,
+        reading,
+        writing,
+        registered,
+        superseded, ///< Another incarnation has the row.
+        leaving
+    };
+
+    void read_own_row(time_point now);
+    void on_own_row(time_point now, const store_result& result);
+    void on_written(time_point now, const store_result& result);
+    void scan(time_point now);
+    void on_scan(time_point now, const store_result& result);
+    void remove_unlisted();
+    void update_members(time_point now, member_map members);
+    void give_up(registration state);
+
+    void send(const std::string& to, const char* type,
+              const nlohmann::json& body);
+    void send_heartbeats(time_point now);
+    void announce_change(time_point now);
+    bool check_incarnation(time_point now, const std::string& host,
+                           const nlohmann::json& body);
+    void on_heartbeat(time_point now, const std::string& host,
+                      const nlohmann::json& body);
+    void on_heartbeat_ack(time_point now, const std::string& host,
+                          const nlohmann::json& body);
+    void on_peer_version(time_point now, const std::string& host,
+                         std::uint64_t version);
+
+    core_context& context_;
+    config_service& config_;
+    registration state_ = registration::absent;
+    std::optional<op_id> op_;
+    std::optional<op_id> scan_op_;
+    time_point next_action_;
+    time_point scan_started_;
+    time_point next_scan_;
+    time_point leave_until_;
+    std::uint64_t own_version_ = 0;
+    bool scanned_ = false;
+
+    std::map<std::string, std::uint64_t> row_versions_;
+    std::set<std::string> listed_;     ///< Entry hosts ever listed.
+    std::set<std::string> listed_now_; ///< In the latest host list.
+    /// When a member was learned from its heartbeat. A scan that began before
+    /// it may not show the row.
+    std::map<std::string, time_point> learned_at_;
+    /// Incarnations that a newer one has replaced.
+    std::map<std::string, std::set<std::string>> replaced_;
+
+    std::uint64_t sequence_ = 0;
+    std::deque<std::pair<std::uint64_t, time_point>> sent_;
+    time_point next_heartbeat_;
+    time_point next_announcement_;
+    time_point requested_at_;
+};
+
+} // namespace carobcourse
--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -1,5 +1,6 @@
 #include "ownership_p.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -16,11 +17,6 @@
 
 } // namespace
 
-duration drift_margin(duration lease)
-{
-    return config::drift_margin_fixed + lease / config::drift_margin_divisor;
-}
-
 ownership::ownership(core_context& context, std::string shard)
     : context_(context), shard_(std::move(shard))
 {
@@ -28,24 +24,30 @@
 
 bool ownership::is_owner(time_point now) const
 {
-    return lease_until_ && now < acts_until();
+    return acts_until_ && now < *acts_until_;
 }
 
 time_point ownership::acts_until() const
 {
-    if (!lease_until_)
-        return time_point{};
-    return *lease_until_ - drift_margin(config::ownership_lease);
+    return acts_until_.value_or(time_point{});
 }
 
 void ownership::on_tick(time_point now)
 {
-    if (lease_until_ && now >= acts_until())
+    if (acts_until_ && now >= *acts_until_)
     {
-        lease_until_.reset();
+        acts_until_.reset();
         context_.log(log_code::shard_lost,
                      fmt::format("{} epoch {}", shard_, epoch_));
     }
+    // Only a lease that is still held is extended: once it has lapsed,
+    // another host may have taken the shard before it granted anything.
+    if (acts_until_)
+    {
+        if (const auto granted =
+                context_.grants.shards_until(context_.identity.data_centre))
+            acts_until_ = std::max(*acts_until_, *granted);
+    }
     if (op_ || now < next_action_ || released_)
         return;
     next_action_ = now + config::ownership_renew_period;
@@ -78,6 +80,8 @@
 {
     if (released_)
         return;
+    // The outcome of an earlier takeover is known now.
+    context_.grants.end_takeover();
     if (result.rows.empty())
     {
         take(now, 0, 1);
@@ -99,8 +103,18 @@
     const bool free = owner_.empty();
     const auto lease =
         config::ownership_lease + drift_margin(config::ownership_lease);
-    if (own || free || now - watched_since_ >= lease)
+    // After a renewal whose reply was lost the epoch stays.
+    if (own && is_owner(now) && seen_epoch_ == epoch_)
+        take(now, row.version, epoch_);
+    else if (own || free)
         take(now, row.version, seen_epoch_ + 1);
+    else if (now - watched_since_ >= lease)
+    {
+        if (context_.grants.begin_takeover(now, owner_))
+            take(now, row.version, seen_epoch_ + 1);
+        else
+            next_action_ = now + config::heartbeat_period;
+    }
 }
 
 void ownership::take(time_point now, std::uint64_t expect_version,
@@ -121,6 +135,8 @@
 
 void ownership::on_taken(time_point now, const store_result& result)
 {
+    if (result.status != store_status::unknown)
+        context_.grants.end_takeover();
     if (released_)
         return;
     if (result.status != store_status::ok)
@@ -136,7 +152,9 @@
     row_version_ = result.versions.empty() ? 0 : result.versions.front();
     epoch_ = wanted_epoch_;
     owner_ = context_.identity.host;
-    lease_until_ = sent_at_ + config::ownership_lease;
+    const auto until = sent_at_ + config::ownership_lease -
+                       drift_margin(config::ownership_lease);
+    acts_until_ = renewed ? std::max(*acts_until_, until) : until;
     if (!renewed)
         context_.log(log_code::shard_acquired,
                      fmt::format("{} epoch {}", shard_, epoch_));
@@ -155,7 +173,7 @@
         commit.writes = {{shard_table, shard_, row_version_, value.dump()}};
         context_.out.emplace_back(std::move(commit));
     }
-    lease_until_.reset();
+    acts_until_.reset();
 }
 
 } // namespace carobcourse
--- a/src/ownership_p.hpp
+++ b/src/ownership_p.hpp
@@ -12,11 +12,9 @@
 namespace carobcourse
 {
 
-/// Margin for clock drift over a lease of this length.
-duration drift_margin(duration lease);
-
 /// Aggregate. Rule: acts as owner only before its own deadline, which is
-/// counted from before the renewing write was sent. Not thread safe.
+/// counted from before the renewing write was sent, or from before the grants
+/// of the data centre's entry hosts were asked for. Not thread safe.
 class ownership
 {
 public:
@@ -64,7 +62,7 @@
     /// renewed for its length after that is over, without comparing clocks.
     std::uint64_t watched_version_ = 0;
     time_point watched_since_;
-    std::optional<time_point> lease_until_;
+    std::optional<time_point> acts_until_;
     std::optional<op_id> op_;
     bool writing_ = false;
     std::uint64_t wanted_epoch_ = 0;
--- /dev/null
+++ b/src/peer_codec.cpp
@@ -0,0 +1,125 @@
+#include "peer_codec_p.hpp"
+
+#include <cstdint>
+#include <vector>
+
+#include "keyring_p.hpp"
+
+namespace carobcourse
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+/// Deepest nesting of a valid frame. The decoder recurses for each level, so
+/// a hostile frame could otherwise exhaust the stack.
+constexpr int max_depth = 16;
+
+class depth_check final : public nlohmann::json_sax<json>
+{
+public:
+    bool null() override
+    {
+        return true;
+    }
+    bool boolean(bool) override
+    {
+        return true;
+    }
+    bool number_integer(number_integer_t) override
+    {
+        return true;
+    }
+    bool number_unsigned(number_unsigned_t) override
+    {
+        return true;
+    }
+    bool number_float(number_float_t, const string_t&) override
+    {
+        return true;
+    }
+    bool string(string_t&) override
+    {
+        return true;
+    }
+    bool binary(binary_t&) override
+    {
+        return true;
+    }
+    bool start_object(std::size_t) override
+    {
+        return ++depth_ <= max_depth;
+    }
+    bool key(string_t&) override
+    {
+        return true;
+    }
+    bool end_object() override
+    {
+        --depth_;
+        return true;
+    }
+    bool start_array(std::size_t) override
+    {
+        return ++depth_ <= max_depth;
+    }
+    bool end_array() override
+    {
+        --depth_;
+        return true;
+    }
+    bool parse_error(std::size_t, const std::string&,
+                     const nlohmann::detail::exception&) override
+    {
+        return false;
+    }
+
+private:
+    int depth_ = 0;
+};
+
+} // namespace
+
+std::string encode_peer_frame(const std::string& type, const json& body)
+{
+    const json frame{
+        {"v", peer_protocol_version}, {"type", type}, {"body", body}};
+    std::string bytes;
+    json::to_cbor(frame, bytes);
+    return bytes;
+}
+
+tl::expected<peer_frame, std::string>
+decode_peer_frame(const std::string& bytes)
+{
+    const auto malformed = tl::make_unexpected(std::string("malformed"));
+    depth_check check;
+    if (!json::sax_parse(bytes, &check, json::input_format_t::cbor))
+        return malformed;
+    const auto frame = json::from_cbor(bytes, true, false);
+    if (!frame.is_object() || !frame.contains("v") ||
+        !frame["v"].is_number_unsigned())
+        return malformed;
+    if (frame["v"] != peer_protocol_version)
+        return tl::make_unexpected(std::string("version"));
+    if (!frame.contains("type") || !frame["type"].is_string() ||
+        !frame.contains("body") || !frame["body"].is_object())
+        return malformed;
+    return peer_frame{frame["type"].get<std::string>(), frame["body"]};
+}
+
+std::string peer_proof(const std::string& secret, const std::string& role,
+                       const std::string& dialler, const std::string& acceptor,
+                       const std::string& dialler_nonce,
+                       const std::string& acceptor_nonce)
+{
+    // A JSON array separates the parts without ambiguity.
+    return hmac_sha256_hex(
+        secret,
+        json::array({role, dialler, acceptor, dialler_nonce, acceptor_nonce})
+            .dump(-1, ' ', true, json::error_handler_t::replace));
+}
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/peer_codec_p.hpp
@@ -0,0 +1,36 @@
+/// Frames between entry hosts: CBOR maps with a protocol version.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace carobcourse
+{
+
+constexpr unsigned peer_protocol_version = 1;
+
+struct peer_frame
+{
+    std::string type;
+    nlohmann::json body;
+};
+
+/// Encodes a frame. Thread safe.
+std::string encode_peer_frame(const std::string& type,
+                              const nlohmann::json& body);
+
+/// Decodes a frame. The error is the reason of the refusal as a metric label:
+/// "malformed" or "version". Thread safe; never throws.
+tl::expected<peer_frame, std::string>
+decode_peer_frame(const std::string& bytes);
+
+/// MAC that proves knowledge of the cluster secret. The role and both names
+/// are part of it, so a MAC of one side can not be reflected as that of the
+/// other. Thread safe.
+std::string peer_proof(const std::string& secret, const std::string& role,
+                       const std::string& dialler, const std::string& acceptor,
+                       const std::string& dialler_nonce,
+                       const std::string& acceptor_nonce);
+
+} // namespace carobcourse
--- a/src/shell_serve.cpp
+++ b/src/shell_serve.cpp
@@ -15,6 +15,7 @@
 #include "entry_host_p.hpp"
 #include "shell_http_server_p.hpp"
 #include "shell_log_p.hpp"
+#include "shell_peer_link_p.hpp"
 #include "shell_platform_p.hpp"
 
 namespace carobcourse
@@ -82,7 +83,15 @@
         server_ = std::make_unique<http_server>(
             options,
             [this](api_call call) { return ring_.try_push(std::move(call)); });
+        const auto peer_listen = parse_address(settings.peer_listen);
+        peers_ = std::make_unique<websocket_peer_link>(
+            peer_link_options{settings.host, settings.cluster_secret,
+                              peer_listen->first, peer_listen->second},
+            entropy_, sink_);
         host_identity identity;
+        const auto peer_address =
+            fmt::format("{}:{}", peer_listen->first, peers_->port());
+        identity.peer_address = peer_address;
         identity.host = settings.host;
         identity.data_centre = settings.data_centre;
         identity.incarnation = entropy_.hex(incarnation_bytes);
@@ -93,10 +102,10 @@
             std::stoull(entropy_.hex(sizeof(std::uint64_t)), nullptr, 16);
         core_ =
             std::make_unique<entry_host>(std::move(identity), seed, entropy_);
-        write_log(
-            {log_code::started, fmt::format("{} in {} http={}:{}",
-                                            settings.host, settings.data_centre,
-                                            address->first, server_->port())});
+        write_log({log_code::started,
+                   fmt::format("{} in {} http={}:{} peer={}", settings.host,
+                               settings.data_centre, address->first,
+                               server_->port(), peer_address)});
     }
 
     void run()
@@ -154,8 +163,14 @@
     {
         executors_.execute(request);
     }
-    void carry_out(const set_peers&) {}
-    void carry_out(const peer_send&) {}
+    void carry_out(const set_peers& peers)
+    {
+        peers_->set_peers(peers);
+    }
+    void carry_out(const peer_send& message)
+    {
+        peers_->send(message);
+    }
     void carry_out(const log_record& record)
     {
         write_log(record);
@@ -176,6 +191,7 @@
     http_worker_link workers_;
     http_executor_link executors_;
     std::unique_ptr<http_server> server_;
+    std::unique_ptr<websocket_peer_link> peers_;
     bool stopped_ = false;
 };
 
