--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+std::string fence_value(std::uint64_t epoch, const std::string& write_id)
+{
+    return json{{"epoch", epoch}, {"write_id", write_id}}.dump();
+}
+
 ownership::ownership(core_context& context, std::string shard)
     : context_(context), shard_(std::move(shard))
 {
@@ -48,6 +53,8 @@
                 context_.grants.shards_until(context_.identity.data_centre))
             acts_until_ = std::max(*acts_until_, *granted);
     }
+    if (release_wanted_ && !released_)
+        release(now);
     if (op_ || now < next_action_ || released_)
         return;
     next_action_ = now + config::ownership_renew_period;
@@ -66,6 +73,11 @@
 
 bool ownership::on_store_result(time_point now, const store_result& result)
 {
+    if (release_op_ && result.op == *release_op_)
+    {
+        release_op_.reset();
+        return true;
+    }
     if (!op_ || !(result.op == *op_))
         return false;
     op_.reset();
@@ -130,6 +142,11 @@
                      {"incarnation", context_.identity.incarnation},
                      {"epoch", next_epoch}};
     commit.writes = {{shard_table, shard_, expect_version, value.dump()}};
+    // The fence row changes hands with the epoch and with each write of the
+    // owner's jobs, but not with renewals, so these never conflict.
+    if (!is_owner(now))
+        commit.writes.push_back(
+            {fence_table, shard_, std::nullopt, fence_value(next_epoch, "")});
     context_.out.emplace_back(std::move(commit));
 }
 
@@ -155,6 +172,8 @@
     const auto until = sent_at_ + config::ownership_lease -
                        drift_margin(config::ownership_lease);
     acts_until_ = renewed ? std::max(*acts_until_, until) : until;
+    if (result.versions.size() > 1)
+        fence_version_ = result.versions[1];
     if (!renewed)
         context_.log(log_code::shard_acquired,
                      fmt::format("{} epoch {}", shard_, epoch_));
@@ -162,13 +181,17 @@
 
 void ownership::release(time_point now)
 {
-    if (released_)
+    release_wanted_ = true;
+    // A renewal in flight may change the row's version; the release waits
+    // for its result.
+    if (released_ || op_)
         return;
     released_ = true;
     if (is_owner(now))
     {
         store_commit commit;
         commit.op = context_.next_op(component::ownership);
+        release_op_ = commit.op;
         const json value{{"owner", ""}, {"incarnation", ""}, {"epoch", epoch_}};
         commit.writes = {{shard_table, shard_, row_version_, value.dump()}};
         context_.out.emplace_back(std::move(commit));
@@ -176,4 +199,14 @@
     acts_until_.reset();
 }
 
+void ownership::step_down(time_point now)
+{
+    if (!acts_until_)
+        return;
+    acts_until_.reset();
+    next_action_ = now;
+    context_.log(log_code::shard_lost,
+                 fmt::format("{} epoch {} stepped down", shard_, epoch_));
+}
+
 } // namespace carobcourse
