--- a/src/config_changes.cpp
+++ b/src/config_changes.cpp
@@ -418,7 +418,7 @@
         }
         if (const auto why = check_change(pending))
         {
-            finish_change(&*why);
+            finish_change(now, &*why);
             continue;
         }
         // A retry keeps to the entry as it was when it was first checked.
@@ -492,7 +492,7 @@
     switch (result.status)
     {
     case store_status::ok:
-        finish_change(nullptr);
+        finish_change(now, nullptr);
         return;
     case store_status::conflict:
         retry_change(now);
@@ -501,7 +501,7 @@
     case store_status::unavailable:
     {
         const error why{result_code::store_unavailable, ""};
-        finish_change(&why);
+        finish_change(now, &why);
         return;
     }
     case store_status::unknown:
@@ -527,7 +527,7 @@
     {
         const auto written = config_change_from_json(result.rows.front().value);
         if (written && written->write_id == pending.change.write_id)
-            finish_change(nullptr);
+            finish_change(now, nullptr);
         else
             retry_change(now); // Another change has this version for good.
         return;
@@ -565,7 +565,7 @@
     }
     const error why{result_code::store_write_unknown,
                     "the change may still take effect; list the entry later"};
-    finish_change(&why);
+    finish_change(now, &why);
 }
 
 void config_service::retry_change(time_point now)
@@ -576,7 +576,7 @@
     {
         const error why{result_code::change_contended,
                         "other changes came first; nothing was written"};
-        finish_change(&why);
+        finish_change(now, &why);
         return;
     }
     pending.at = change_step::waiting;
@@ -584,20 +584,23 @@
     next_poll_ = time_point{};
 }
 
-void config_service::refuse_unsent_changes(time_point)
+void config_service::refuse_unsent_changes(time_point now)
 {
     while (!changes_.empty() && !change_op_ &&
            changes_.front().at == change_step::waiting)
     {
         const error why{result_code::store_unavailable, ""};
-        finish_change(&why);
+        finish_change(now, &why);
     }
 }
 
-void config_service::finish_change(const error* why)
+void config_service::finish_change(time_point now, const error* why)
 {
     const auto pending = std::move(changes_.front());
     changes_.pop_front();
+    // Peers get no promise while the change may still take effect.
+    change_unresolved_ = why && info(why->code).ran_state == ran::unknown;
+    change_ended_at_ = now;
     if (why)
     {
         context_.refuse(pending.call, *why);
@@ -606,9 +609,7 @@
     {
         // In force here at once, so that the operator's next change may be
         // based on this one.
-        if (pending.change.version == current_.version() + 1 &&
-            current_.apply(pending.change))
-            current_.advance(pending.change.version);
+        apply_logged(to_json_text(pending.change));
         answer_change(pending, pending.change.version, true);
     }
     next_poll_ = time_point{}; // Read the new head at once.
--- a/src/trace.cpp
+++ b/src/trace.cpp
@@ -139,6 +139,11 @@
             {"connected", state.connected}};
 }
 
+json to_trace(const peer_refusals& refusals)
+{
+    return {{"type", "peer_refusals"}, {"counts", refusals.counts}};
+}
+
 api_call call_from_json(const json& value)
 {
     api_call call;
@@ -441,6 +446,9 @@
     if (type == "peer_state")
         return peer_state{value.at("host").get<std::string>(),
                           value.at("connected").get<bool>()};
+    if (type == "peer_refusals")
+        return peer_refusals{
+            value.at("counts").get<std::map<std::string, std::uint64_t>>()};
     throw json::other_error::create(501, "unknown event type " + type, &value);
 }
 
