--- a/src/config_changes.cpp
+++ b/src/config_changes.cpp
@@ -325,7 +325,11 @@
 {
     const auto& change = pending.change;
     const auto in_force = entry_version(change);
-    if (pending.base && *pending.base != in_force)
+    // A removed team is new again: its document is based on 0.
+    const bool is_new_team = change.kind == entry_kind::team && change.value &&
+                             !current_.find_team(change.name) &&
+                             pending.base == std::uint64_t{0};
+    if (pending.base && *pending.base != in_force && !is_new_team)
         return error{result_code::version_conflict,
                      fmt::format("based on {}, in force is {}", *pending.base,
                                  in_force)};
--- a/tests/test_config_changes.cpp
+++ b/tests/test_config_changes.cpp
@@ -349,6 +349,9 @@
     CHECK(
         cell.call("n0", "DELETE", "/v1/teams/walk", operator_key).http_status ==
         200);
+    // A removed team can be put in force again.
+    CHECK(put(cell, "n0", "walk", document("walk", 0, 1000)).http_status ==
+          200);
 }
 
 TEST_CASE("a change is refused as not run while the table is down")
