--- a/src/config_service_p.hpp
+++ b/src/config_service_p.hpp
@@ -60,6 +60,12 @@
         next_poll_ = time_point{};
     }
 
+    /// True when no operator's call waits for its answer.
+    bool is_drained() const
+    {
+        return changes_.empty() && limit_reads_.empty();
+    }
+
     void on_tick(time_point now);
     void on_store_result(time_point now, const store_result& result);
 
--- a/src/entry_host.cpp
+++ b/src/entry_host.cpp
@@ -171,7 +171,8 @@
 
 bool entry_host::is_drained() const
 {
-    return requests_.is_drained() && scheduler_.is_drained();
+    return requests_.is_drained() && scheduler_.is_drained() &&
+           config_.is_drained();
 }
 
 void entry_host::check_drained(time_point now)
--- a/tests/process_harness.hpp
+++ b/tests/process_harness.hpp
@@ -216,6 +216,7 @@
                                int drain_seconds = 10,
                                const std::vector<std::string>& more = {})
     {
+        list_entry_host(id, data_centre, "live");
         const auto file = directory_.path() + "/" + id + ".toml";
         std::ofstream(file) << fmt::format(
             "[entry_host]\nid = \"{0}\"\ndata_centre = \"{1}\"\n"
@@ -241,6 +242,19 @@
         return url;
     }
 
+    /// Tells the platform's list about an entry host; "gone" removes it.
+    void list_entry_host(const std::string& id, const std::string& data_centre,
+                         const std::string& state) const
+    {
+        const json host{{"id", id},
+                        {"kind", "entry"},
+                        {"data_centre", data_centre},
+                        {"address", id},
+                        {"state", state}};
+        call(platform_url_, "POST", "/control/hosts", "",
+             json{{"hosts", json::array({host})}}.dump());
+    }
+
     child_process& process(const std::string& id)
     {
         return *processes_.at(id);
