--- a/tests/test_config_changes.cpp
+++ b/tests/test_config_changes.cpp
@@ -61,6 +61,8 @@
             {
                 if (commit->op.owner == component::config)
                     commits.push_back(*commit);
+                else if (commit->op.owner == component::members)
+                    execute(*commit, false); // Registers the host.
             }
             else if (const auto* read = std::get_if<store_read>(&what))
                 answer(read->op, table.read(read->table, read->key));
