--- a/tests/test_process_bad_input.cpp
+++ b/tests/test_process_bad_input.cpp
@@ -81,8 +81,9 @@
     }
     SECTION("a body over the limit")
     {
-        const auto answer = call(url, "POST", "/v1/services/bookings/requests",
-                                 key, std::string(2 * 1024 * 1024, 'x'));
+        const auto answer =
+            call(url, "POST", "/v1/services/bookings/requests", key,
+                 std::string(std::size_t{2} * 1024 * 1024, 'x'));
         CHECK(answer.status == 413);
         CHECK(answer.body["error"]["code"] == "CC-1004");
         CHECK(cell.record("north")["requests"].empty());
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -46,12 +46,13 @@
 std::string mutate(std::string text, std::mt19937_64& random)
 {
     static const std::vector<std::string> pieces = {
-        "[",         "]",    "[[",      "\"",   "'''",
-        "=",         "{",    "}",       "\n",   ".",
-        "-1",        "1e9",  "\\u0000", "\xff", "\xc3",
-        "true",      "null", "{}",      "[]",   "99999999999999999999",
-        "[[a]]",     ",",    ":",       "\0",   "0x",
-        "1979-05-27"};
+        "[",       "]",         "[[",   "\"",
+        "'''",     "=",         "{",    "}",
+        "\n",      ".",         "-1",   "1e9",
+        "\\u0000", "\xff",      "\xc3", "true",
+        "null",    "{}",        "[]",   "99999999999999999999",
+        "[[a]]",   ",",         ":",    std::string(1, '\0'),
+        "0x",      "1979-05-27"};
     const auto changes = 1 + random() % 4;
     for (std::uint64_t i = 0; i < changes && !text.empty(); ++i)
     {
