Make two process tests independent of who comes first

Both checks depended on a race that the design allows. test_process_peers expected a refusal from a host that was stopped for 6 s and woken, but its peers answer its first heartbeat at once: a recording of north-3 shows both heartbeat_ack 1.0 ms after it woke, and a request that arrived 20 ms after it woke, served under these new grants.

The woken host's peers are paused too, so that no grant can come, and it must refuse every request for 2 s, not only the first. The killed host must have inserted every key of the callers' own before the kill, and at least one caller must be left without an answer. Neither check names fewer cases than before.

--- a/tests/test_process_peers.cpp
+++ b/tests/test_process_peers.cpp
@@ -58,14 +58,25 @@
         cell.process("north-3").send(SIGSTOP);
         std::this_thread::sleep_for(6s);
         CHECK(request(urls[0], key) == "CC-1202");
-        // The first answer after the pause must come from before any link
-        // is back; it is a refusal.
+        // With the others paused nobody can grant anything, so that every
+        // answer rests on what north-3 held before its pause. A grant takes
+        // less than a request, and may otherwise come first.
+        cell.process("north-1").send(SIGSTOP);
+        cell.process("north-2").send(SIGSTOP);
         std::string first;
         std::thread caller([&] { first = request(urls[2], key); });
         std::this_thread::sleep_for(200ms);
         cell.process("north-3").send(SIGCONT);
         caller.join();
         CHECK(first == "CC-1202");
+        const auto alone_until = std::chrono::steady_clock::now() + 2s;
+        while (std::chrono::steady_clock::now() < alone_until)
+        {
+            CHECK(request(urls[2], key) == "CC-1202");
+            std::this_thread::sleep_for(50ms);
+        }
+        cell.process("north-1").send(SIGCONT);
+        cell.process("north-2").send(SIGCONT);
         for (const auto& url : urls)
             CHECK(
                 eventually(10s, [&] { return request(url, key) == "served"; }));
--- a/tests/test_process_requests.cpp
+++ b/tests/test_process_requests.cpp
@@ -31,6 +31,14 @@
     return runs;
 }
 
+/// Idempotency keys of callers that entry hosts have inserted.
+std::size_t inserted_keys(const deployment& cell)
+{
+    const auto rows =
+        call(cell.platform_url(), "GET", "/v1/rows/idempotency?limit=100").body;
+    return rows["rows"].size();
+}
+
 std::string error_code(const http_answer& answer)
 {
     return answer.body.is_object() && answer.body.contains("error")
@@ -320,7 +328,7 @@
     // what the killed host may have run (I8).
     deployment cell;
     data_centre_size size;
-    size.service_ms = 300;
+    size.service_ms = 1000;
     cell.add_data_centre("north", size);
     const auto first = cell.add_entry_host("north-1", "north");
     const auto second = cell.add_entry_host("north-2", "north");
@@ -348,10 +356,19 @@
     std::vector<http_answer> answers(requests);
     for (int i = 0; i < requests; ++i)
         callers.emplace_back([&, i] { answers[i] = ask(first, i, "20000"); });
-    REQUIRE(eventually(5s, [&] { return runs_by_body(cell).size() > 6; }));
+    // A request that the host never accepted may run elsewhere, so it is
+    // killed once it has inserted each key of the callers' own.
+    REQUIRE(eventually(5s,
+                       [&]
+                       {
+                           return runs_by_body(cell).size() > 6 &&
+                                  inserted_keys(cell) == requests / 2;
+                       }));
     cell.process("north-1").send(SIGKILL);
     for (auto& each : callers)
         each.join();
+    CHECK(std::any_of(answers.begin(), answers.end(),
+                      [](const auto& each) { return each.status == 0; }));
     for (int i = 0; i < requests; ++i)
     {
         const auto repeat = ask(second, i, "500");
