Give every command JSON output; add tickets; drop an unused setting

The setting platform.objects was required and used for nothing: workers write checkpoints, entry hosts only pass the keys of the objects on.

--- a/src/cli_client.cpp
+++ b/src/cli_client.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <sstream>
 
 #include "cli_p.hpp"
@@ -59,7 +60,8 @@
 };
 
 answer call(const client_options& options, const std::string& method,
-            const std::string& path, const std::string& body = {})
+            const std::string& path, const std::string& body = {},
+            const std::string& idempotency_key = {})
 {
     http_request request;
     request.method = method;
@@ -69,6 +71,8 @@
                        std::chrono::milliseconds(options.timeout_ms);
     if (!options.key.empty())
         request.headers.emplace_back("Authorization", "Bearer " + options.key);
+    if (!idempotency_key.empty())
+        request.headers.emplace_back("Idempotency-Key", idempotency_key);
     const auto response = http_call(std::move(request));
     if (response.status == send_status::not_sent)
         return {
@@ -121,24 +125,67 @@
     return json::parse(to_json_text(document)).flatten();
 }
 
-/// Prints each key that changes, with the old and the new value.
-void print_changes(const team_document* old, const team_document& wanted)
+/// Each key that changes, with the old and the new value; null for none.
+json find_changes(const team_document* old, const team_document& wanted)
 {
     const auto before = old ? flat_document(*old) : json::object();
     const auto after = flat_document(wanted);
+    json changes = json::array();
     for (const auto& [key, value] : before.items())
     {
         if (!after.contains(key))
-            std::cout << "  " << key << ": " << value.dump() << " -> (none)\n";
+            changes.push_back({{"key", key}, {"from", value}, {"to", nullptr}});
     }
     for (const auto& [key, value] : after.items())
     {
-        if (!before.contains(key))
-            std::cout << "  " << key << ": (none) -> " << value.dump() << "\n";
-        else if (before[key] != value)
-            std::cout << "  " << key << ": " << before[key].dump() << " -> "
-                      << value.dump() << "\n";
+        const auto from = before.value(key, json());
+        if (from != value)
+            changes.push_back({{"key", key}, {"from", from}, {"to", value}});
     }
+    return changes;
+}
+
+/// Prints what a document changes, as JSON on one line or as text.
+void print_plan(const client_options& options, const json& plan)
+{
+    if (options.json_output)
+    {
+        std::cout << plan.dump() << std::endl;
+        return;
+    }
+    std::cout << fmt::format("{}: {}, version in force {}\n",
+                             plan["team"].get<std::string>(),
+                             plan["change"].get<std::string>(),
+                             plan["in_force"].get<std::uint64_t>());
+    const auto text = [](const json& value)
+    { return value.is_null() ? std::string("(none)") : value.dump(); };
+    for (const auto& each : plan["changes"])
+        std::cout << fmt::format("  {}: {} -> {}\n",
+                                 each["key"].get<std::string>(),
+                                 text(each["from"]), text(each["to"]));
+    std::cout.flush();
+}
+
+/// A document in force and its version; 0 and empty when there is none.
+struct known_document
+{
+    std::uint64_t version = 0;
+    std::optional<team_document> document;
+};
+
+known_document find_document(const json& list, const std::string& team)
+{
+    known_document known;
+    for (const auto& entry : list["entries"])
+    {
+        if (entry["name"] != team)
+            continue;
+        known.version = entry["version"].get<std::uint64_t>();
+        const auto parsed = team_document_from_json(entry["document"].dump());
+        if (parsed)
+            known.document = *parsed;
+    }
+    return known;
 }
 
 int apply_one(const client_options& options, const std::string& path,
@@ -155,40 +202,31 @@
     const auto listed = call(options, "GET", "/v1/teams");
     if (listed.exit_status != exit_code::ok)
         return print(options, listed);
-    std::uint64_t in_force = 0;
-    tl::expected<team_document, error> known = tl::make_unexpected(error{});
     const auto list = json::parse(listed.body, nullptr, false);
     if (!list.is_object() || !list.contains("entries"))
         return print(options, {exit_code::refused, listed.body});
-    for (const auto& entry : list["entries"])
-    {
-        if (entry["name"] != document->team)
-            continue;
-        in_force = entry["version"].get<std::uint64_t>();
-        known = team_document_from_json(entry["document"].dump());
-    }
-    if (known && *known == *document)
-    {
-        std::cout << document->team << ": unchanged, version " << in_force
-                  << "\n";
-        return exit_code::ok;
-    }
-    if (known && document->base_version < in_force)
+    const auto known = find_document(list, document->team);
+    const bool unchanged = known.document && *known.document == *document;
+    if (!unchanged && known.document && document->base_version < known.version)
     {
         std::cerr << to_string(problem{
                          path, 0, "version", result_code::version_conflict,
                          fmt::format("based on version {}, in force is {}",
-                                     document->base_version, in_force)})
+                                     document->base_version, known.version)})
                   << "\n";
         return exit_code::refused;
     }
-    std::cout << document->team << ": "
-              << (known ? fmt::format("changes version {}", in_force)
-                        : std::string("new"))
-              << "\n";
-    print_changes(known ? &*known : nullptr, *document);
-    std::cout.flush();
-    if (dry_run)
+    const char* change = unchanged        ? "unchanged"
+                         : known.document ? "changed"
+                                          : "new";
+    print_plan(
+        options,
+        {{"team", document->team},
+         {"change", change},
+         {"in_force", known.version},
+         {"changes", find_changes(known.document ? &*known.document : nullptr,
+                                  *document)}});
+    if (unchanged || dry_run)
         return exit_code::ok;
     return print(options,
                  call(options, "PUT", "/v1/teams/" + document->team, text));
@@ -380,6 +418,19 @@
         });
 }
 
+void add_ticket_command(CLI::App& app, int& exit_status)
+{
+    auto* ticket = app.add_subcommand(
+        "ticket", "Get a ticket: an idempotency key that works while the "
+                  "table service is down");
+    auto options = add_options(*ticket);
+    ticket->callback(
+        [=, &exit_status] {
+            exit_status =
+                print(*options, call(*options, "POST", "/v1/tickets"));
+        });
+}
+
 void add_request_command(CLI::App& app, int& exit_status)
 {
     auto* request =
@@ -395,13 +446,18 @@
                       "The request may be repeated after a failure");
     request->add_option("--deadline-ms", *deadline_ms, "Deadline")
         ->capture_default_str();
+    auto idempotency_key = std::make_shared<std::string>();
+    request->add_option("--idempotency-key", *idempotency_key,
+                        "Runs at most once under this key: a ticket or a name "
+                        "of your own; repeat the command after a failure");
     request->callback(
         [=, &exit_status]
         {
             const auto path = fmt::format(
                 "/v1/services/{}/requests?deadline_ms={}&idempotent={}",
                 *service, *deadline_ms, *idempotent);
-            exit_status = print(*options, call(*options, "POST", path, *body));
+            exit_status = print(*options, call(*options, "POST", path, *body,
+                                               *idempotency_key));
         });
 }
 
@@ -413,6 +469,7 @@
     add_key_commands(app, exit_status);
     add_data_centre_commands(app, exit_status);
     add_job_commands(app, exit_status);
+    add_ticket_command(app, exit_status);
     add_request_command(app, exit_status);
 }
 
--- a/src/cli_local.cpp
+++ b/src/cli_local.cpp
@@ -26,19 +26,18 @@
 {
     std::ifstream in(path, std::ios::binary);
     if (!in)
-    {
-        std::cerr << to_string(problem{path, 0, "file",
-                                       result_code::invalid_settings,
-                                       "can not be read"})
-                  << "\n";
         return false;
-    }
     std::ostringstream buffer;
     buffer << in.rdbuf();
     text = buffer.str();
     return true;
 }
 
+problem unreadable(const std::string& path)
+{
+    return {path, 0, "file", result_code::invalid_settings, "can not be read"};
+}
+
 void print(const std::vector<problem>& problems)
 {
     for (const auto& each : problems)
@@ -49,7 +48,10 @@
 {
     std::string text;
     if (!read_file(path, text))
+    {
+        print({unreadable(path)});
         return exit_code::usage;
+    }
     const auto parsed = parse_settings(text, path);
     if (!parsed)
     {
@@ -70,33 +72,43 @@
     }
 }
 
-/// A file with a `team` key is a team document, any other is settings.
-bool check_file(const std::string& path)
+/// A file with an `[entry_host]` table is settings, any other a team document.
+std::vector<problem> check_file(const std::string& path)
 {
     std::string text;
     if (!read_file(path, text))
-        return false;
+        return {unreadable(path)};
+    if (text.find("[entry_host]") != std::string::npos)
+    {
+        const auto parsed = parse_settings(text, path);
+        return parsed ? std::vector<problem>() : parsed.error();
+    }
     const auto document = parse_team_document(text, path);
-    if (document)
-        return true;
-    const auto parsed = parse_settings(text, path);
-    if (parsed)
-        return true;
-    const bool is_settings = text.find("[entry_host]") != std::string::npos;
-    print(is_settings ? parsed.error() : document.error());
-    return false;
+    return document ? std::vector<problem>() : document.error();
 }
 
-int check(const std::vector<std::string>& paths)
+int check(const std::vector<std::string>& paths, bool json_output)
 {
     bool good = true;
+    nlohmann::json report = nlohmann::json::array();
     for (const auto& path : paths)
     {
-        if (check_file(path))
+        const auto problems = check_file(path);
+        good = good && problems.empty();
+        for (const auto& each : problems)
+            report.push_back({{"file", each.file},
+                              {"line", each.line},
+                              {"code", to_string(each.code)},
+                              {"key", each.key},
+                              {"text", each.detail}});
+        if (json_output)
+            continue;
+        print(problems);
+        if (problems.empty())
             std::cout << path << ": ok\n";
-        else
-            good = false;
     }
+    if (json_output)
+        std::cout << nlohmann::json{{"problems", report}} << "\n";
     return good ? exit_code::ok : exit_code::usage;
 }
 
@@ -105,8 +117,7 @@
     std::ifstream in(path);
     if (!in)
     {
-        std::string ignored;
-        read_file(path, ignored);
+        print({unreadable(path)});
         return exit_code::usage;
     }
     const auto report = replay_trace(in);
@@ -153,8 +164,11 @@
         "check", "Check settings and team documents without starting");
     auto paths = std::make_shared<std::vector<std::string>>();
     check_command->add_option("files", *paths, "Files to check")->required();
-    check_command->callback([paths, &exit_status]
-                            { exit_status = check(*paths); });
+    auto check_json = std::make_shared<bool>(false);
+    check_command->add_flag("--json", *check_json,
+                            "Print the problems as JSON on one line");
+    check_command->callback([paths, check_json, &exit_status]
+                            { exit_status = check(*paths, *check_json); });
 
     auto* replay_command = app.add_subcommand(
         "replay", "Replay a trace against the outcomes that it states");
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -65,8 +65,6 @@
                        problems);
     out.table_url = reader.required_string("table");
     check_url(reader, "table", out.table_url);
-    out.objects_url = reader.required_string("objects");
-    check_url(reader, "objects", out.objects_url);
     out.hosts_url = reader.required_string("hosts");
     check_url(reader, "hosts", out.hosts_url);
     reader.finish();
--- a/src/settings_p.hpp
+++ b/src/settings_p.hpp
@@ -21,7 +21,6 @@
     std::int64_t drain_deadline_ms = 30000;
     std::string operator_key;
     std::string table_url;
-    std::string objects_url;
     std::string hosts_url;
     std::string cluster_secret;
     std::string log_level = "info";
--- a/tests/process_harness.hpp
+++ b/tests/process_harness.hpp
@@ -222,7 +222,7 @@
             "[entry_host]\nid = \"{0}\"\ndata_centre = \"{1}\"\n"
             "listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n"
             "drain_deadline_s = {2}\noperator_key = \"{3}\"\n"
-            "[platform]\ntable = \"{4}\"\nobjects = \"{4}\"\n"
+            "[platform]\ntable = \"{4}\"\n"
             "hosts = \"{4}\"\n[cluster]\n"
             "secret = \"test-cluster-secret\"\n",
             id, data_centre, drain_seconds, operator_key, platform_url_);
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -19,7 +19,6 @@
 operator_key = "0123456789abcdef"
 [platform]
 table = "http://127.0.0.1:1"
-objects = "http://127.0.0.1:2"
 hosts = "http://127.0.0.1:3"
 [cluster]
 secret = "0123456789abcdef"
