--- a/src/config_changes.cpp
+++ b/src/config_changes.cpp
@@ -350,6 +350,15 @@
         const auto* document = current_.find_team(change.name);
         if (!document)
             return std::nullopt;
+        // A key that is left would work again for a new team of this name.
+        for (const auto& [id, entry] : current_.entries(entry_kind::key))
+        {
+            const auto record = entry.value ? key_record_from_json(*entry.value)
+                                            : tl::make_unexpected(error{});
+            if (record && record->team == change.name)
+                return error{result_code::team_in_use,
+                             "key " + id + " is not withdrawn"};
+        }
         for (const auto& service : document->services)
         {
             for (const auto& other : service.submitters)
--- a/tests/test_config_changes.cpp
+++ b/tests/test_config_changes.cpp
@@ -343,6 +343,13 @@
     const auto busy = cell.call("n0", "DELETE", "/v1/teams/walk", operator_key);
     CHECK(fake_cell::error_code(busy) == "CC-1503");
     cell.run_for(40s);
+    // A key that outlived its team would work for a new team of that name.
+    const auto keyed =
+        cell.call("n0", "DELETE", "/v1/teams/walk", operator_key);
+    CHECK(fake_cell::error_code(keyed) == "CC-1503");
+    CHECK(keyed.body.find(key_id_of(key)) != std::string::npos);
+    CHECK(cell.call("n0", "DELETE", "/v1/keys/" + key_id_of(key), operator_key)
+              .http_status == 200);
     CHECK(
         cell.call("n0", "DELETE", "/v1/teams/walk", operator_key).http_status ==
         200);
@@ -354,6 +361,8 @@
     // A removed team can be put in force again.
     CHECK(put(cell, "n0", "walk", document("walk", 0, 1000)).http_status ==
           200);
+    const auto stale = cell.call("n0", "GET", "/v1/jobs/j", key);
+    CHECK(fake_cell::error_code(stale) == "CC-1011");
 }
 
 TEST_CASE("a change is refused as not run while the table is down")
