Measure waiting per team group and completed work in the policy benchmark

The wait of all tasks cannot tell whether the work that waits is the work of the team that asks for more than its share, nor whether capacity stays idle. The benchmark now reports waits of the large team and of the others apart, and per run the completed core-seconds by team group and those lost to preemption, as a part of the cell's capacity.

--- a/tools/bench_cell_p.hpp
+++ b/tools/bench_cell_p.hpp
@@ -99,6 +99,17 @@
     {
         return preemptions_;
     }
+    /// Core-seconds of the team's tasks that ran to their end so far.
+    double work_done(const std::string& team) const
+    {
+        const auto found = done_.find(team);
+        return found == done_.end() ? 0.0 : found->second;
+    }
+    /// Core-seconds of stopped tasks, which run again from the beginning.
+    double work_lost() const
+    {
+        return lost_;
+    }
     /// Tries of the dispatcher so far.
     std::size_t tries() const
     {
@@ -133,6 +144,7 @@
     {
         worker_handle worker = no_worker;
         std::uint32_t attempt = 0;
+        time_point started;
     };
 
     bool describe(const task_id& task, dispatch_job& job) override
@@ -164,7 +176,7 @@
         index_.set_free(handle, index_.free(handle) - of.job.queued.amount);
         used_[of.job.queued.team] += of.job.queued.amount;
         const auto attempt = ++attempts_[task];
-        running_[task] = {handle, attempt};
+        running_[task] = {handle, attempt, now_};
         ends_.emplace(now_ + of.run, task, attempt);
         waits_.push_back({task.job, of.job.queued.team, of.job.queued.kind,
                           of.job.queued.urgency, now_ - waiting_.at(task)});
@@ -192,6 +204,10 @@
             return;
         const auto& of = jobs_.at(task.job);
         const auto worker = found->second.worker;
+        const std::chrono::duration<double> ran = now_ - found->second.started;
+        const auto work =
+            ran.count() *
+            static_cast<double>(of.job.queued.amount.cpu_millis) / 1000;
         running_.erase(found);
         index_.set_free(worker, index_.free(worker) + of.job.queued.amount);
         used_[of.job.queued.team] -= of.job.queued.amount;
@@ -199,7 +215,11 @@
         const bool stopped = stop != stopped_.end() && stop->second == attempt;
         dispatcher_.ended(now_, task, !stopped);
         if (!stopped)
+        {
+            done_[of.job.queued.team] += work;
             return;
+        }
+        lost_ += work;
         stopped_.erase(stop);
         waiting_[task] = now_;
         dispatcher_.insert(task);
@@ -261,6 +281,8 @@
     std::vector<wait_record> waits_;
     std::priority_queue<end_event, std::vector<end_event>, std::greater<>>
         ends_;
+    std::map<std::string, double> done_; ///< Core-seconds per team.
+    double lost_ = 0;
     std::size_t preemptions_ = 0;
     std::size_t tries_ = 0;
 };
--- a/tools/bench_policy.cpp
+++ b/tools/bench_policy.cpp
@@ -90,8 +90,12 @@
     return "batch";
 }
 
+/// The team that sends half of the work. Above 100% load it alone asks for
+/// more than its share, so its work has to wait and that of the others not.
+const char* const large_team = "t0:1";
+
 void measure_waits(order_method how, double load, std::uint64_t seed,
-                   json& rows)
+                   json& waiting, json& work)
 {
     std::mt19937_64 random(seed);
     cell hosts(how, workers, each);
@@ -103,36 +107,60 @@
         hosts.run_until(time_point(std::chrono::seconds(second + 1)));
     }
     const auto open = hosts.waiting();
+    constexpr double capacity = workers * 32.0 * seconds;
+    const double large = hosts.work_done(large_team) / capacity;
+    double others = 0;
+    for (int i = 1; i < 6; ++i)
+        others += hosts.work_done("t" + std::to_string(i) + ":1") / capacity;
+    work.push_back({{"method", to_string(how)},
+                    {"load", load},
+                    {"done", large + others},
+                    {"done_large_team", large},
+                    {"done_other_teams", others},
+                    {"lost_to_preemption", hosts.work_lost() / capacity},
+                    {"waiting_at_300s", open},
+                    {"preemptions", hosts.preemptions()}});
     // What waits at the end counts too: it runs to its end without new work.
     hosts.run_until(time_point(std::chrono::seconds(seconds * 10)));
-    std::map<std::string, std::vector<double>> by_kind;
+    std::map<std::pair<std::string, std::string>, std::vector<double>> groups;
     for (const auto& wait : hosts.waits())
-        by_kind[kind_of(wait)].push_back(
-            std::chrono::duration<double>(wait.waited).count());
-    for (auto& [kind, waits] : by_kind)
-        rows.push_back({{"method", to_string(how)},
-                        {"load", load},
-                        {"kind", kind},
-                        {"starts", waits.size()},
-                        {"wait_p50_s", percentile(waits, 0.5)},
-                        {"wait_p99_s", percentile(waits, 0.99)},
-                        {"waiting_at_300s", open},
-                        {"never_started", hosts.waiting()},
-                        {"preemptions", hosts.preemptions()}});
+    {
+        const auto waited = std::chrono::duration<double>(wait.waited).count();
+        groups[{kind_of(wait), "all"}].push_back(waited);
+        groups[{kind_of(wait), wait.team == large_team ? "large" : "others"}]
+            .push_back(waited);
+    }
+    for (auto& [group, waits] : groups)
+    {
+        double sum = 0;
+        for (const double waited : waits)
+            sum += waited;
+        waiting.push_back({{"method", to_string(how)},
+                           {"load", load},
+                           {"kind", group.first},
+                           {"teams", group.second},
+                           {"starts", waits.size()},
+                           {"wait_mean_s",
+                            sum / static_cast<double>(waits.size())},
+                           {"wait_p50_s", percentile(waits, 0.5)},
+                           {"wait_p99_s", percentile(waits, 0.99)},
+                           {"never_started", hosts.waiting()}});
+    }
 }
 
 } // namespace
 
 nlohmann::json run_policy(std::uint64_t seed)
 {
-    json rows = json::array();
+    json waiting = json::array();
+    json work = json::array();
     for (const double load : {0.5, 0.8, 0.95, 1.2})
     {
         for (const auto how :
              {order_method::dispatcher, order_method::first_come})
-            measure_waits(how, load, seed, rows);
+            measure_waits(how, load, seed, waiting, work);
     }
-    return {{"waiting", std::move(rows)}};
+    return {{"waiting", std::move(waiting)}, {"work", std::move(work)}};
 }
 
 } // namespace carobcourse::bench
