Try tasks with a reservation apart from the size classes of the queue

Cause: the queue blocks a size class for all teams when one task of it is refused. A gang or large task with a reservation sees capacity that is hidden from the refused one, but was in the same class. When a gang without a reservation went first in the order by share, the reserved ones were not tried although their capacity was free.

Change: what has a reservation is tried before the pass and not through the queue. A task that starts as backfill gives up its own reservation.

A failed try: a size class per reservation within the order by share.

Conclusion: idle reserved capacity was the main cause.

--- a/src/job_queue_p.hpp
+++ b/src/job_queue_p.hpp
@@ -56,6 +56,12 @@
         return jobs_.size() + fresh_.size();
     }
 
+    /// A normal task of the team started without a try of a pass.
+    void started(time_point now, const std::string& team)
+    {
+        teams_[team].last_normal_start = now;
+    }
+
     /// A worker now has `free` left: size classes that fit are tried again.
     void freed(const resources& free);
 
--- a/src/policy_dispatcher.cpp
+++ b/src/policy_dispatcher.cpp
@@ -71,6 +71,7 @@
     shares_.clear();
     preemptible_.clear();
     running_.clear();
+    running_sum_ = {};
     racks_.clear();
     rack_of_.clear();
     preempting_.clear();
@@ -94,6 +95,7 @@
              .second)
         return;
     shares_.charge(now, task, queued.team, queued.amount);
+    running_sum_ += queued.amount;
     if (queued.kind == job_kind::batch && queued.urgency == job_class::normal)
         preemptible_.add(task, worker, queued.amount, job.checkpoints, now);
 }
@@ -107,6 +109,7 @@
     if (succeeded)
         usage_.observe_run(of.job.queued.team, of.job.queued.kind,
                            of.job.declared_run, now - of.started);
+    running_sum_ -= of.job.queued.amount;
     running_.erase(found);
     preemptible_.remove(task);
     shares_.release(now, task);
@@ -152,14 +155,8 @@
         if (!grown.empty() || now - since >= preempt_patience)
             queue_.insert(task);
     }
-    for (const auto& [key, of] : reservations_)
-    {
-        if (grown.empty() && now < of.next_plan)
-            continue;
-        for (const auto& task : of.tasks)
-            queue_.insert(task);
-    }
     mask(index);
+    const auto reserved_tries = try_reserved(now, index, port, !grown.empty());
     const auto tries = queue_.pass(
         now, shares_,
         [&](const task_id& task, queued_job& queued)
@@ -175,7 +172,43 @@
         [&](const task_id& task) { return try_task(now, index, port, task); },
         max_tries);
     unmask(index);
-    return tries;
+    return reserved_tries + tries;
+}
+
+std::size_t dispatcher::try_reserved(time_point now, placement_index& index,
+                                     dispatch_port& port, bool grown)
+{
+    std::vector<std::pair<time_point, task_id>> due;
+    for (const auto& [key, of] : reservations_)
+    {
+        if (grown || now >= of.next_plan)
+            due.emplace_back(of.where.start(), key);
+    }
+    std::sort(due.begin(), due.end());
+    for (const auto& item : due)
+    {
+        auto& own = reservations_.at(item.second);
+        const auto tasks = own.tasks;
+        dispatch_job job;
+        if (!port.describe(tasks.front(), job))
+        {
+            own.where.unmask(index);
+            erase(tasks.front());
+            continue;
+        }
+        const auto result = try_task(now, index, port, tasks.front());
+        if (result == try_result::placed)
+        {
+            if (job.queued.urgency == job_class::normal)
+                queue_.started(now, job.queued.team);
+        }
+        else if (reservations_.count(item.second) == 0)
+        {
+            for (const auto& task : tasks)
+                queue_.insert(task);
+        }
+    }
+    return due.size();
 }
 
 void dispatcher::start(time_point now, placement_index& index,
@@ -234,7 +267,14 @@
     {
         const auto worker = backfill(now, job);
         if (worker != no_worker)
+        {
             chosen.push_back({worker, "backfill: ends before a reservation"});
+            if (own != reservations_.end())
+            {
+                own->second.where.unmask(index);
+                reservations_.erase(own);
+            }
+        }
     }
     if (!chosen.empty())
     {
@@ -250,11 +290,17 @@
         return preempt_for(now, index, port, task, job);
     port.waits(task, result_code::waits_for_room, "");
     if (now - queued.accepted_at >= large_task_patience &&
-        reserve(now, index, task, job, {task}))
+        is_large(queued.amount) && reserve(now, index, task, job, {task}))
         return try_result::gone;
     return try_result::no_room;
 }
 
+bool dispatcher::is_large(const resources& amount) const
+{
+    return !(amount * static_cast<std::int64_t>(running_.size()))
+                .fits_in(running_sum_);
+}
+
 worker_handle dispatcher::backfill(time_point now,
                                    const dispatch_job& job) const
 {
--- a/src/policy_dispatcher_p.hpp
+++ b/src/policy_dispatcher_p.hpp
@@ -91,6 +91,12 @@
         duration estimate{};
     };
 
+    /// Tries what has a reservation, before the queue. Returns the number of
+    /// tries. The queue blocks a size class when any task of it is refused,
+    /// but a reserved task may use capacity that is hidden from that one. It
+    /// also goes first because its reservation holds capacity idle.
+    std::size_t try_reserved(time_point now, placement_index& index,
+                             dispatch_port& port, bool grown);
     try_result try_task(time_point now, placement_index& index,
                         dispatch_port& port, const task_id& task);
     try_result try_gang(time_point now, placement_index& index,
@@ -112,12 +118,17 @@
     void unmask(placement_index& index);
     worker_handle backfill(time_point now, const dispatch_job& job) const;
     duration expected_run(const dispatch_job& job) const;
+    /// True for more than the mean of the running tasks. Others find room
+    /// when a task ends; a reservation would only let them pass the order by
+    /// share.
+    bool is_large(const resources& amount) const;
 
     job_queue queue_;
     fair_share shares_;
     usage_model usage_;
     preemption_book preemptible_;
     std::map<task_id, running_task> running_;
+    resources running_sum_;
     /// Running tasks of each service job per rack name.
     std::map<std::string, std::map<std::string, std::uint32_t>> racks_;
     std::map<task_id, std::string> rack_of_;
--- a/tests/test_policy_dispatch.cpp
+++ b/tests/test_policy_dispatch.cpp
@@ -85,6 +85,22 @@
     CHECK(hosts.index().free_capacity() == whole * 4);
 }
 
+TEST_CASE("a reserved gang starts although a gang of its size is refused first")
+{
+    // Guards against a refusal of one gang that keeps others of its size from
+    // a try, although their reserved capacity is free: it stays idle then.
+    cell hosts(order_method::dispatcher, 4, whole);
+    hosts.submit("old", make_job("b", job_kind::batch, whole, 1, 10s));
+    hosts.run_until(time_point(1s));
+    hosts.submit("reserved", make_job("b", job_kind::gang, whole, 4, 5s));
+    hosts.run_until(time_point(2s));
+    // Team "c" has used nothing, so it goes first.
+    hosts.submit("refused", make_job("c", job_kind::gang, whole, 4, 5s));
+    hosts.run_until(time_point(30s));
+    CHECK(longest_wait(hosts, "reserved") == 9s);
+    CHECK(longest_wait(hosts, "refused") == 13s);
+}
+
 TEST_CASE("urgent work stops the batch task that loses least")
 {
     // Guards against urgent work that waits behind batch tasks, and against
--- a/tools/bench_cell_p.hpp
+++ b/tools/bench_cell_p.hpp
@@ -205,9 +205,9 @@
         const auto& of = jobs_.at(task.job);
         const auto worker = found->second.worker;
         const std::chrono::duration<double> ran = now_ - found->second.started;
-        const auto work =
-            ran.count() *
-            static_cast<double>(of.job.queued.amount.cpu_millis) / 1000;
+        const auto work = ran.count() *
+                          static_cast<double>(of.job.queued.amount.cpu_millis) /
+                          1000;
         running_.erase(found);
         index_.set_free(worker, index_.free(worker) + of.job.queued.amount);
         used_[of.job.queued.team] -= of.job.queued.amount;
--- a/tools/bench_policy.cpp
+++ b/tools/bench_policy.cpp
@@ -135,16 +135,16 @@
         double sum = 0;
         for (const double waited : waits)
             sum += waited;
-        waiting.push_back({{"method", to_string(how)},
-                           {"load", load},
-                           {"kind", group.first},
-                           {"teams", group.second},
-                           {"starts", waits.size()},
-                           {"wait_mean_s",
-                            sum / static_cast<double>(waits.size())},
-                           {"wait_p50_s", percentile(waits, 0.5)},
-                           {"wait_p99_s", percentile(waits, 0.99)},
-                           {"never_started", hosts.waiting()}});
+        waiting.push_back(
+            {{"method", to_string(how)},
+             {"load", load},
+             {"kind", group.first},
+             {"teams", group.second},
+             {"starts", waits.size()},
+             {"wait_mean_s", sum / static_cast<double>(waits.size())},
+             {"wait_p50_s", percentile(waits, 0.5)},
+             {"wait_p99_s", percentile(waits, 0.99)},
+             {"never_started", hosts.waiting()}});
     }
 }
 
