Require the own member row in each change; remove rows of unseen gone hosts

A commit of a change did not check the writer's member row, so a host whose row had been removed, or a commit of it still on its way, could take effect although nobody waits for its promises. And a row was only removed by a host that had seen the other one listed: after a replacement of all entry hosts at once the old rows stayed, the new hosts waited for hosts that never answer, and no change was accepted again.

Each commit of a change, and each change of nothing that excludes a late one, also rewrites the own member row at the version that it is known to have. Where the version is not certain the rows are read again first. A row of a host that was never listed counts as gone after 60 s and 30 reads of the host list without the host and without a message from it. To remove the row of a live host is safe with the check above: it registers again.

A check without a write: the table service has none, a commit either writes or deletes. A shorter wait: a new host registers before the lagging list shows it.

--- a/include/carobcourse/config.hpp
+++ b/include/carobcourse/config.hpp
@@ -48,6 +48,13 @@
 constexpr auto reporter_timeout = 2500ms;
 /// Without an answer for so long, another host of a data centre is asked.
 constexpr auto summary_timeout = 1200ms;
+/// A registered host that was never listed and not heard for so long, through
+/// so many reads of the host list, counts as gone. Far above the list's lag.
+constexpr auto unlisted_member_timeout = 60000ms;
+constexpr std::size_t unlisted_member_lists = 30;
+/// Wait before the member rows are read again while the version of the own row
+/// is not known.
+constexpr auto row_retry_period = 200ms;
 constexpr std::size_t recent_changes_kept = 1024;
 constexpr std::size_t config_entries_batch = 64;
 
--- a/src/config_changes.cpp
+++ b/src/config_changes.cpp
@@ -1,4 +1,5 @@
 // Operators' calls: lists, and changes on their way to the table.
+#include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -18,6 +19,7 @@
 constexpr char log_table[] = "config_log";
 constexpr char head_table[] = "config_head";
 constexpr char head_key[] = "head";
+constexpr char member_table[] = "member";
 constexpr std::size_t max_pending_changes = 256;
 /// A change whose commit lost to changes of other entries is sent again so
 /// many times.
@@ -449,6 +451,10 @@
         commit.writes.push_back({entries_table,
                                  entry_key(change.kind, change.name),
                                  std::nullopt, text});
+    // Last, so that a conflict of the head is found first.
+    const auto& own = *context_.member_row;
+    commit.writes.push_back({member_table, own.key, own.version, own.value});
+    member_check_ = commit.writes.size() - 1;
     change_op_ = commit.op;
     auto& pending = changes_.front();
     pending.at = change.kind == entry_kind::none ? change_step::excluding
@@ -456,6 +462,21 @@
     context_.out.emplace_back(std::move(commit));
 }
 
+/// Keeps the version of the own member row, which each commit rewrites. When it
+/// is not certain the row is read again before the next commit.
+void config_service::on_member_checked(const store_result& result)
+{
+    auto& row = context_.member_row;
+    if (!row)
+        return;
+    if (result.status == store_status::ok &&
+        result.versions.size() == member_check_ + 1)
+        row->version = std::max(row->version, result.versions.back());
+    else if (result.status == store_status::conflict &&
+             result.conflict_index == member_check_)
+        row.reset();
+}
+
 bool config_service::on_change_result(time_point now,
                                       const store_result& result)
 {
@@ -473,10 +494,12 @@
     switch (changes_.front().at)
     {
     case change_step::committing:
+        on_member_checked(result);
         on_commit(now, result);
         break;
     case change_step::excluding:
         // Whatever the reply is, the log row says what took effect.
+        on_member_checked(result);
         settle_at(now + (result.status == store_status::ok ? settle_at_once
                                                            : settle_retry));
         on_change_tick(now);
@@ -531,13 +554,17 @@
     {
         const auto written = config_change_from_json(result.rows.front().value);
         if (written && written->write_id == pending.change.write_id)
+        {
+            context_.member_row.reset(); // Rewritten at an unknown version.
             finish_change(now, nullptr);
+        }
         else
             retry_change(now); // Another change has this version for good.
         return;
     }
     settle_at(now + settle_retry);
-    if (result.status == store_status::ok && now < pending.give_up_at)
+    if (result.status == store_status::ok && now < pending.give_up_at &&
+        context_.member_row)
     {
         // The commit may still be on its way. A change of nothing at the
         // same version excludes it.
--- a/src/config_service.cpp
+++ b/src/config_service.cpp
@@ -45,6 +45,13 @@
            *own_read_at_ >= grants.removed_at();
 }
 
+/// True when the gate of changes is open and the version of the own member
+/// row, which the commit requires, is known.
+bool config_service::may_write(time_point now) const
+{
+    return context_.member_row && context_.grants.may_change(now);
+}
+
 tl::expected<void, error> config_service::check_usable(time_point now) const
 {
     if (!current_.is_loaded())
@@ -56,7 +63,7 @@
 
 void config_service::on_tick(time_point now)
 {
-    if (change_waits_ && context_.grants.may_change(now))
+    if (change_waits_ && may_write(now))
     {
         // A change is based on the newest head.
         change_waits_ = false;
@@ -245,7 +252,7 @@
         return;
     }
     grants.begin_change();
-    change_waits_ = !grants.may_change(now);
+    change_waits_ = !may_write(now);
     if (!change_waits_)
         send_next_change(now);
 }
--- a/src/config_service_p.hpp
+++ b/src/config_service_p.hpp
@@ -128,6 +128,8 @@
     void caught_up(time_point now);
     void pass_gate(time_point now);
     bool is_granted(time_point now) const;
+    bool may_write(time_point now) const;
+    void on_member_checked(const store_result& result);
     bool apply_logged(const std::string& text);
 
     bool check_operator(const api_call& call);
@@ -187,6 +189,7 @@
 
     std::deque<pending_change> changes_;
     std::optional<op_id> change_op_;
+    std::size_t member_check_ = 0; ///< Index of that write in the commit.
     std::map<op_id, limit_read> limit_reads_;
 };
 
--- a/src/core_context_p.hpp
+++ b/src/core_context_p.hpp
@@ -6,6 +6,7 @@
 #include <carobcourse/result_code.hpp>
 #include <carobcourse/types.hpp>
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -46,6 +47,10 @@
     entropy_source& entropy;
     metrics counters;
     peer_grants grants;
+    /// Row of this host in table `member`; empty while its version is not
+    /// known. Each commit of a change requires it, so that a host whose row
+    /// was removed writes nothing.
+    std::optional<row> member_row;
     effects out;
 
     op_id next_op(component owner)
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -110,7 +110,9 @@
         read_own_row(now);
     if (state_ != registration::registered)
         return;
-    if (!scan_op_ && now >= next_scan_)
+    const bool row_unknown =
+        !context_.member_row && now >= scan_started_ + config::row_retry_period;
+    if (!scan_op_ && (now >= next_scan_ || row_unknown))
         scan(now);
     if (!scanned_)
         return;
@@ -169,6 +171,7 @@
         {
             // The reply to an earlier write was lost.
             state_ = registration::writing;
+            written_value_ = row.value;
             on_written(now, {{}, store_status::ok, 0, {row.version}, {}});
             return;
         }
@@ -180,8 +183,9 @@
     const json value{{"incarnation", context_.identity.incarnation},
                      {"data_centre", context_.identity.data_centre},
                      {"peer_address", context_.identity.peer_address}};
+    written_value_ = value.dump();
     commit.writes = {
-        {member_table, context_.identity.host, expect, value.dump()}};
+        {member_table, context_.identity.host, expect, written_value_}};
     context_.out.emplace_back(std::move(commit));
 }
 
@@ -191,6 +195,8 @@
     if (result.status != store_status::ok)
         return;
     own_version_ = result.versions.empty() ? 0 : result.versions.front();
+    context_.member_row =
+        row{context_.identity.host, own_version_, written_value_};
     state_ = registration::registered;
     next_scan_ = now;
     context_.log(log_code::member_registered, context_.identity.incarnation);
@@ -200,6 +206,9 @@
 {
     state_ = state;
     scanned_ = false;
+    if (context_.member_row)
+        own_version_ = context_.member_row->version;
+    context_.member_row.reset();
     context_.grants.set_unregistered();
 }
 
@@ -257,7 +266,13 @@
         }
         own_row = true;
         if (member.incarnation == context_.identity.incarnation)
+        {
+            // A scan may be older than a commit that rewrote the row.
+            if (!context_.member_row ||
+                context_.member_row->version < row.version)
+                context_.member_row = row;
             continue;
+        }
         context_.log(log_code::member_superseded, member.incarnation);
         give_up(registration::superseded);
         context_.out.emplace_back(set_peers{});
@@ -282,7 +297,7 @@
         next_heartbeat_ = now;
     scanned_ = true;
     update_members(now, std::move(members));
-    remove_unlisted();
+    remove_unlisted(now);
 }
 
 void membership::update_members(time_point now, member_map members)
@@ -328,6 +343,7 @@
 
 void membership::on_hosts(const std::vector<host_entry>& hosts)
 {
+    ++lists_read_;
     listed_now_.clear();
     for (const auto& host : hosts)
     {
@@ -337,13 +353,39 @@
     listed_.insert(listed_now_.begin(), listed_now_.end());
 }
 
-/// Removes rows of hosts that the host list had and no longer has: such a
-/// host is permanently gone. One that was never listed may just be new.
-void membership::remove_unlisted()
+/// True when the host list had the host and no longer has it: such a host is
+/// permanently gone. One that was never listed may just be new. It counts as
+/// gone when it stays unlisted and silent for long; its row would otherwise
+/// block changes for ever where nobody is left who saw it listed. Removing the
+/// row of a live host is safe, as each commit of a change requires that row.
+bool membership::is_gone(time_point now, const std::string& host,
+                         std::uint64_t version)
+{
+    if (listed_now_.count(host) != 0)
+    {
+        unlisted_.erase(host);
+        return false;
+    }
+    if (listed_.count(host) != 0)
+        return true;
+    auto& row = unlisted_[host];
+    const auto heard = heard_at_.find(host);
+    const bool restart = row.version != version || (heard != heard_at_.end() &&
+                                                    heard->second >= row.since);
+    if (restart)
+        row = {version, now, lists_read_};
+    return now >= row.since + config::unlisted_member_timeout &&
+           lists_read_ - row.lists_read >= config::unlisted_member_lists;
+}
+
+void membership::remove_unlisted(time_point now)
 {
+    for (auto at = unlisted_.begin(); at != unlisted_.end();)
+        at = row_versions_.count(at->first) == 0 ? unlisted_.erase(at)
+                                                 : std::next(at);
     for (const auto& [host, version] : row_versions_)
     {
-        if (listed_.count(host) == 0 || listed_now_.count(host) != 0)
+        if (!is_gone(now, host, version))
             continue;
         store_commit commit;
         commit.op = context_.next_op(component::members);
--- a/src/membership_p.hpp
+++ b/src/membership_p.hpp
@@ -53,7 +53,9 @@
     void on_written(time_point now, const store_result& result);
     void scan(time_point now);
     void on_scan(time_point now, const store_result& result);
-    void remove_unlisted();
+    void remove_unlisted(time_point now);
+    bool is_gone(time_point now, const std::string& host,
+                 std::uint64_t version);
     void update_members(time_point now, member_map members);
     void give_up(registration state);
 
@@ -93,10 +95,21 @@
     time_point scan_started_;
     time_point next_scan_;
     time_point leave_until_;
-    std::uint64_t own_version_ = 0;
+    std::uint64_t own_version_ = 0; ///< Of the own row, for its deletion.
+    std::string written_value_;
     bool scanned_ = false;
 
     std::map<std::string, std::uint64_t> row_versions_;
+    /// A row of a host that this one has never seen listed.
+    struct unlisted_row
+    {
+        std::uint64_t version = 0;
+        time_point since;
+        std::uint64_t lists_read = 0; ///< By then.
+    };
+
+    std::map<std::string, unlisted_row> unlisted_;
+    std::uint64_t lists_read_ = 0;
     std::set<std::string> listed_;     ///< Entry hosts ever listed.
     std::set<std::string> listed_now_; ///< In the latest host list.
     /// When a member was learned from its heartbeat. A scan that began before
--- a/tests/core_harness.hpp
+++ b/tests/core_harness.hpp
@@ -169,6 +169,12 @@
         at(now_ + list_lag, [this, id] { listed_.erase(id); });
     }
 
+    /// Takes a host off the list at once, as if it had not been listed yet.
+    void hide(const std::string& id)
+    {
+        listed_.erase(id);
+    }
+
     // -------------------------------------------------------------- faults
 
     void kill(const std::string& id)
--- a/tests/test_config_changes.cpp
+++ b/tests/test_config_changes.cpp
@@ -109,7 +109,9 @@
         if (!lose_reply)
             result.status =
                 done.status == 200 ? store_status::ok : store_status::conflict;
-        if (done.status == 200)
+        if (done.status != 200)
+            result.conflict_index = done.body["conflict"];
+        else
             result.versions =
                 done.body["versions"].get<std::vector<std::uint64_t>>();
         take(core.handle(now, result));
@@ -208,6 +210,58 @@
     CHECK(body(host.answers[1])["error"]["ran"] == "unknown");
 }
 
+TEST_CASE("a host whose member row was removed can write no change")
+{
+    // Guards against a commit, or one that is on its way, of a host that the
+    // others no longer ask for promises.
+    lone_host host;
+    host.call(1, "PUT", "/v1/teams/climb", document("climb", 0, 1000));
+    host.settle();
+    REQUIRE(host.commits.size() == 1);
+    const auto on_its_way = host.commits.front();
+    host.commits.pop_front();
+    const auto remove = [&]
+    {
+        REQUIRE(host.table
+                    .commit({{"ops",
+                              {{{"table", "member"},
+                                {"key", "a"},
+                                {"value", json()}}}}})
+                    .status == 200);
+    };
+    remove();
+    CHECK_FALSE(host.execute(on_its_way, false));
+    CHECK(host.table.scan("config_log", "", "", 10).body["rows"].empty());
+    // It registers again, and then the change is accepted.
+    host.settle();
+    for (int i = 0; i < 3 && host.commits.empty(); ++i)
+        host.settle();
+    REQUIRE(host.commits.size() == 1);
+    CHECK(host.execute(host.commits.front(), false));
+    host.settle();
+    REQUIRE(host.answers.count(1) == 1);
+    CHECK(host.answers[1].http_status == 200);
+}
+
+TEST_CASE("changes follow each other although each rewrites the member row")
+{
+    // Guards against a version of the own row that is out of date: it would
+    // cost a conflict for each change, and the answer after eight.
+    lone_host host;
+    for (call_id id = 1; id <= 12; ++id)
+    {
+        const auto team = "team-" + std::to_string(id);
+        host.call(id, "PUT", "/v1/teams/" + team, document(team, 0, 1000));
+        host.settle();
+        REQUIRE(host.commits.size() == 1);
+        CHECK(host.execute(host.commits.front(), false));
+        host.commits.clear();
+        host.settle();
+        REQUIRE(host.answers.count(id) == 1);
+        CHECK(host.answers[id].http_status == 200);
+    }
+}
+
 TEST_CASE("changes of different entries at once are all accepted")
 {
     // Guards against a refusal because another entry changed first, on one
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -150,6 +150,43 @@
     CHECK(cell.member_rows().count("south-2") == 0);
 }
 
+TEST_CASE("rows of hosts that nobody saw listed do not block changes for ever")
+{
+    // Guards against a cell that was replaced as a whole: the new hosts never
+    // saw the old ones in the host list and wait for them.
+    const auto mode = any_mode();
+    INFO("mode " << static_cast<int>(mode));
+    small_cell cell(11, mode);
+    for (const auto& host : small_cell::hosts)
+    {
+        cell.kill(host);
+        cell.unlist(host);
+    }
+    cell.run_for(5s);
+    cell.add_entry_host("north-3", "north");
+    cell.add_entry_host("south-3", "south");
+    cell.run_for(30s);
+    // Not yet: a row without a listed host may be of a new one.
+    CHECK(cell.member_rows().size() == 6);
+    cell.run_for(45s);
+    CHECK(cell.member_rows() == std::set<std::string>{"north-3", "south-3"});
+    const auto id = cell.key.substr(4, 12);
+    CHECK(cell.call("north-3", "DELETE", "/v1/keys/" + id, operator_key)
+              .http_status == 200);
+}
+
+TEST_CASE("a registered host that is heard keeps its row without the list")
+{
+    // Guards against the removal of a live host because the list lags.
+    const auto mode = any_mode();
+    INFO("mode " << static_cast<int>(mode));
+    small_cell cell(12, mode);
+    cell.add_entry_host("south-3", "south");
+    cell.hide("south-3");
+    cell.run_for(120s);
+    CHECK(cell.member_rows().count("south-3") == 1);
+}
+
 TEST_CASE("a store outage costs neither freshness nor ownership")
 {
     // Guards against an outage of the store that stops keyed work.
