--- a/tests/test_large_cell.cpp
+++ b/tests/test_large_cell.cpp
@@ -129,6 +129,43 @@
     CHECK(cell.count_fresh() == cell.hosts.size());
 }
 
+TEST_CASE("the loss of any reporter leaves a cut-off data centre fresh")
+{
+    // Guards against a data centre that hears of the others through one host
+    // only. It has no access to the table and lives on relayed reads.
+    const auto lost = GENERATE(0, 1, 2, 3, 4, 5);
+    const bool dies = GENERATE(true, false);
+    large_cell cell(3, 3, 6);
+    for (int i = 0; i < 6; ++i)
+        cell.set_platform_cut(fmt::format("dc01-{}", i), true);
+    cell.run_for(10s);
+    CHECK(cell.count_fresh() == 18);
+    const auto reporter = fmt::format("dc01-{}", lost);
+    if (dies)
+        cell.kill(reporter);
+    else
+        cell.pause(reporter);
+    for (int i = 0; i < 20; ++i)
+    {
+        cell.run_for(500ms);
+        for (const auto& host : cell.hosts)
+        {
+            INFO(host << " after " << 500 * (i + 1) << " ms");
+            if (host != reporter)
+                REQUIRE(cell.health(host)["config_fresh"] == true);
+        }
+    }
+    if (dies)
+        return;
+    // Grants of all come back with the host, also without the table.
+    cell.store.down = true;
+    cell.run_for(10s);
+    CHECK_FALSE(cell.health("dc00-0")["config_fresh"].get<bool>());
+    cell.resume(reporter);
+    cell.run_for(4s);
+    CHECK(cell.count_fresh() == 18);
+}
+
 TEST_CASE("figures of peers by size of the cell", "[.figures]")
 {
     struct size
--- a/tests/test_peer_grants.cpp
+++ b/tests/test_peer_grants.cpp
@@ -195,3 +195,80 @@
     CHECK(grants.promise(start, "b", false) == 0ms);
     CHECK(grants.promise(start, "x", true) == 0ms); // No member.
 }
+
+TEST_CASE("a promise to all holds a change until all have acknowledged")
+{
+    // Guards against a change that the final holder of a relayed grant misses.
+    auto grants = registered_grants(start);
+    const auto later = start + 10s;
+    CHECK(grants.promise_to_all(later, false) == 0ms); // Has read nothing.
+    CHECK(grants.promise_to_all(later, true) == 4000ms);
+    grants.begin_change();
+    CHECK(grants.promise_to_all(later, true) == 0ms);
+    CHECK(grants.unacknowledged() == std::set<std::string>{"b", "c"});
+    grants.on_change_acknowledged("b", grants.round());
+    CHECK_FALSE(grants.may_change(later + 4239ms));
+    SECTION("the promise ends")
+    {
+        CHECK(grants.may_change(later + 4240ms));
+    }
+    SECTION("the last one acknowledges")
+    {
+        grants.on_change_acknowledged("c", grants.round());
+        CHECK(grants.may_change(later));
+    }
+}
+
+TEST_CASE("relayed grants count only for the members they were given to")
+{
+    // Guards against grants of a host that does not know this one and would
+    // not wait for it, and of one that has announced a change since.
+    auto grants = registered_grants(start);
+    grants.on_grant("b", grant_of("b1", start));
+    grants.on_tick(start);
+    relayed_grants relayed;
+    relayed.member_set = grants.member_set();
+    relayed.config_version = 5;
+    relayed.until = start + 2s;
+    relayed.rounds = {3};
+    SECTION("given to the same members")
+    {
+        grants.on_relayed("south", relayed);
+        CHECK(grants.confirmed_until() == start + 2s);
+        CHECK(grants.highest_version() == 5);
+        // An answer that ends sooner does not replace it.
+        relayed.until = start + 1s;
+        grants.on_relayed("south", relayed);
+        CHECK(grants.confirmed_until() == start + 2s);
+        SECTION("then a change is announced")
+        {
+            grants.on_peer_change("c", 4);
+            CHECK_FALSE(grants.confirmed_until());
+            relayed.until = start + 3s;
+            grants.on_relayed("south", relayed); // Was on its way.
+            CHECK_FALSE(grants.confirmed_until());
+            relayed.rounds = {4};
+            relayed.until = start + 1500ms;
+            grants.on_relayed("south", relayed);
+            CHECK(grants.confirmed_until() == start + 1500ms);
+        }
+        SECTION("then the membership changes")
+        {
+            grants.set_members(start, {{"b", {"b1", "north", "b"}},
+                                       {"c", {"c2", "south", "c"}}});
+            CHECK_FALSE(grants.confirmed_until());
+        }
+    }
+    SECTION("given to other members")
+    {
+        relayed.member_set += 1;
+        grants.on_relayed("south", relayed);
+        CHECK_FALSE(grants.confirmed_until());
+    }
+    SECTION("not one round for each granter")
+    {
+        relayed.rounds = {3, 3};
+        grants.on_relayed("south", relayed);
+        CHECK_FALSE(grants.confirmed_until());
+    }
+}
