--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -584,8 +584,12 @@
     if (!context_.grants.is_changing())
     {
         next_announcement_ = now;
+        // Peers need not wait up to a period for the new version.
+        if (std::exchange(was_changing_, false))
+            next_heartbeat_ = now;
         return;
     }
+    was_changing_ = true;
     if (now < next_announcement_)
         return;
     next_announcement_ = now + announce_period;
--- a/src/membership_p.hpp
+++ b/src/membership_p.hpp
@@ -135,6 +135,7 @@
     time_point next_heartbeat_;
     time_point last_heartbeat_;
     time_point next_announcement_;
+    bool was_changing_ = false;
     time_point requested_at_;
 };
 
