Run a set of shard schedulers in one entry host

Cause: a data centre is one shard, so one process owns all of its workers and takes all of its task starts. Several schedulers in one process need their own routing of results, and callers' operations must not belong to one of them.

A takeover gate with one slot: the end of one shard's takeover would have released the promises withheld for another, so the gate counts takeovers by shard.

Change: shard_set owns the schedulers and the callers' operations, shard_map holds the workers of the list by shard (one copy per host, not one per scheduler). Syncs are numbered over the whole host, so that a result names its shard. A result that answers no sync is now dropped as a whole. The number of shards is still 1.

Conclusion: with one shard a host behaves as before.

--- a/src/core_context_p.hpp
+++ b/src/core_context_p.hpp
@@ -51,6 +51,12 @@
         return {owner, ++sequence_};
     }
 
+    /// Number of a sync, unique over the shards of this host.
+    std::uint64_t next_sync()
+    {
+        return ++syncs_;
+    }
+
     void log(log_code code, std::string detail)
     {
         out.emplace_back(log_record{code, without_secrets(std::move(detail))});
@@ -68,6 +74,7 @@
 
 private:
     std::uint64_t sequence_ = 0;
+    std::uint64_t syncs_ = 0;
 };
 
 /// JSON body of an error answer.
--- a/src/entry_host.cpp
+++ b/src/entry_host.cpp
@@ -11,7 +11,7 @@
                        entropy_source& entropy)
     : context_(std::move(identity), seed, entropy), config_(context_),
       members_(context_, config_), requests_(context_, config_),
-      scheduler_(context_, config_)
+      shards_(context_, config_)
 {
 }
 
@@ -32,7 +32,7 @@
     }
     members_.on_tick(now);
     config_.on_tick(now);
-    scheduler_.on_tick(now);
+    shards_.on_tick(now);
     requests_.on_tick(now);
     check_drained(now);
 }
@@ -59,7 +59,7 @@
         context_.refuse(call.id, {result_code::stopping, ""});
         return;
     }
-    if (scheduler_.on_call(now, call) || config_.on_call(now, call))
+    if (shards_.on_call(now, call) || config_.on_call(now, call))
         return;
     context_.refuse(call.id, {result_code::not_found, call.path});
 }
@@ -99,7 +99,7 @@
         requests_.on_store_result(now, result);
         break;
     default:
-        scheduler_.on_store_result(now, result);
+        shards_.on_store_result(now, result);
         break;
     }
     check_drained(now);
@@ -115,13 +115,13 @@
     }
     hosts_known_ = true;
     members_.on_hosts(result.hosts);
-    scheduler_.on_hosts(now, result.hosts);
+    shards_.on_hosts(now, result.hosts);
     requests_.on_hosts(now, result.hosts);
 }
 
 void entry_host::on_event(time_point now, const worker_result& result)
 {
-    scheduler_.on_worker_result(now, result);
+    shards_.on_worker_result(now, result);
 }
 
 void entry_host::on_event(time_point now, const execute_result& result)
@@ -166,12 +166,12 @@
     drain_until_ = now + context_.identity.drain_deadline;
     context_.log(log_code::stop_requested, "");
     requests_.stop(refuse_from_);
-    scheduler_.stop(now);
+    shards_.stop(now);
 }
 
 bool entry_host::is_drained() const
 {
-    return requests_.is_drained() && scheduler_.is_drained() &&
+    return requests_.is_drained() && shards_.is_drained() &&
            config_.is_drained();
 }
 
--- a/src/entry_host_p.hpp
+++ b/src/entry_host_p.hpp
@@ -8,7 +8,7 @@
 #include "event_p.hpp"
 #include "membership_p.hpp"
 #include "request_service_p.hpp"
-#include "shard_scheduler_p.hpp"
+#include "shard_set_p.hpp"
 
 namespace carobcourse
 {
@@ -51,7 +51,7 @@
     config_service config_;
     membership members_;
     request_service requests_;
-    shard_scheduler scheduler_;
+    shard_set shards_;
     time_point next_host_list_;
     bool host_list_in_flight_ = false;
     bool hosts_known_ = false;
--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -93,7 +93,7 @@
     if (released_)
         return;
     // The outcome of an earlier takeover is known now.
-    context_.grants.end_takeover();
+    context_.grants.end_takeover(shard_);
     if (result.rows.empty())
     {
         take(now, 0, 1);
@@ -122,7 +122,7 @@
         take(now, row.version, seen_epoch_ + 1);
     else if (now - watched_since_ >= lease)
     {
-        if (context_.grants.begin_takeover(now, owner_))
+        if (context_.grants.begin_takeover(now, shard_, owner_))
             take(now, row.version, seen_epoch_ + 1);
         else
             next_action_ = now + config::heartbeat_period;
@@ -153,7 +153,7 @@
 void ownership::on_taken(time_point now, const store_result& result)
 {
     if (result.status != store_status::unknown)
-        context_.grants.end_takeover();
+        context_.grants.end_takeover(shard_);
     if (released_)
         return;
     if (result.status != store_status::ok)
--- a/src/peer_grants.cpp
+++ b/src/peer_grants.cpp
@@ -78,7 +78,10 @@
 
 duration peer_grants::promise_shards(time_point now, const std::string& host)
 {
-    if (!registered_ || taking_from_ == host || members_.count(host) == 0)
+    const bool taking =
+        std::any_of(taking_from_.begin(), taking_from_.end(),
+                    [&](const auto& item) { return item.second == host; });
+    if (!registered_ || taking || members_.count(host) == 0)
         return duration(0);
     return give(now, shards_promised_until_[host]);
 }
@@ -146,19 +149,20 @@
         introduced_.insert(host);
 }
 
-bool peer_grants::begin_takeover(time_point now, const std::string& owner)
+bool peer_grants::begin_takeover(time_point now, const std::string& shard,
+                                 const std::string& owner)
 {
     const auto promised = shards_promised_until_.find(owner);
     if (is_quiet(now) ||
         (promised != shards_promised_until_.end() && now < promised->second))
         return false;
-    taking_from_ = owner;
+    taking_from_[shard] = owner;
     return true;
 }
 
-void peer_grants::end_takeover()
+void peer_grants::end_takeover(const std::string& shard)
 {
-    taking_from_.reset();
+    taking_from_.erase(shard);
 }
 
 // ----------------------------------------------------------------- as holder
--- a/src/peer_grants_p.hpp
+++ b/src/peer_grants_p.hpp
@@ -117,11 +117,12 @@
     /// A member's current incarnation knows that this host is registered.
     void on_introduced(const std::string& host);
 
-    /// Starts a takeover from `owner`: it gets no promise until
+    /// Starts a takeover of `shard` from `owner`: it gets no promise until
     /// `end_takeover`. False, and no effect, while it may rely on one or
     /// while this host may change nothing.
-    bool begin_takeover(time_point now, const std::string& owner);
-    void end_takeover();
+    bool begin_takeover(time_point now, const std::string& shard,
+                        const std::string& owner);
+    void end_takeover(const std::string& shard);
 
     // ------------------------------------------------------------ as holder
 
@@ -156,7 +157,9 @@
     bool changing_ = false;
     std::uint64_t round_ = 0;
     std::set<std::string> acknowledged_;
-    std::optional<std::string> taking_from_;
+    /// Owners by the shard that is being taken from them. A promise covers
+    /// all shards of its holder, so one takeover withholds it.
+    std::map<std::string, std::string> taking_from_;
 
     std::map<std::string, held_grant> held_;
     std::map<std::string, std::uint64_t> least_round_;
--- a/src/shard_calls.cpp
+++ b/src/shard_calls.cpp
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "job_tables_p.hpp"
-#include "shard_scheduler_p.hpp"
+#include "shard_set_p.hpp"
 
 namespace carobcourse
 {
@@ -22,9 +22,15 @@
                0;
 }
 
+/// Order of free capacity: accelerators are scarcest, then processors.
+auto to_key(const resources& free)
+{
+    return std::make_tuple(free.accelerators, free.cpu_millis, free.memory_mb);
+}
+
 } // namespace
 
-bool shard_scheduler::on_call(time_point now, const api_call& call)
+bool shard_set::on_call(time_point now, const api_call& call)
 {
     const std::string prefix = "/v1/jobs";
     if (call.path.compare(0, prefix.size(), prefix) != 0)
@@ -59,36 +65,61 @@
     return true;
 }
 
-std::string shard_scheduler::home_for(const job_spec& spec) const
+std::string shard_set::shard_in(time_point now, const std::string& data_centre,
+                                const job_spec& spec)
+{
+    const auto possible = map_.shards_for(data_centre, spec);
+    if (possible.empty())
+        return {};
+    // A shard of this host with room takes the job on without waiting for
+    // another host's poll of its inbox.
+    std::string best;
+    resources most;
+    for (const auto& shard : shards_)
+    {
+        if (std::find(possible.begin(), possible.end(), shard->shard()) ==
+            possible.end())
+            continue;
+        const auto room = shard->room_for(now, spec.amount);
+        if (!room || (!best.empty() && to_key(*room) <= to_key(most)))
+            continue;
+        best = shard->shard();
+        most = *room;
+    }
+    return best.empty() ? possible[homes_given_++ % possible.size()] : best;
+}
+
+std::string shard_set::home_for(time_point now, const job_spec& spec)
 {
     const auto& own = context_.identity.data_centre;
-    if (data_centres_.empty())
-        return job_tables::shard_of(
-            spec.data_centre.empty() ? own : spec.data_centre);
+    if (map_.data_centres().empty())
+        return job_tables::shard_name(
+            spec.data_centre.empty() ? own : spec.data_centre, 0);
     // A job with a wanted home stays out of other data centres; otherwise the
     // own one is preferred, and one that is out is the last resort.
     auto candidates = std::vector<std::string>{spec.data_centre};
     if (spec.data_centre.empty())
     {
         candidates = {own};
-        candidates.insert(candidates.end(), data_centres_.begin(),
-                          data_centres_.end());
+        candidates.insert(candidates.end(), map_.data_centres().begin(),
+                          map_.data_centres().end());
     }
     std::string best;
     for (const auto& each : candidates)
     {
-        if (!could_hold(each, spec.amount))
+        const auto shard = shard_in(now, each, spec);
+        if (shard.empty())
             continue;
         if (!config_.current().is_data_centre_out(each))
-            return job_tables::shard_of(each);
+            return shard;
         if (best.empty())
-            best = job_tables::shard_of(each);
+            best = shard;
     }
     return best;
 }
 
-void shard_scheduler::submit(time_point, const api_call& call,
-                             const std::string& team)
+void shard_set::submit(time_point now, const api_call& call,
+                       const std::string& team)
 {
     auto spec = parse_job_spec(call.body, team);
     if (!spec)
@@ -101,16 +132,16 @@
         context_.refuse(call.id, {result_code::not_found, "team " + team});
         return;
     }
-    if (!spec->data_centre.empty() && !data_centres_.empty() &&
-        data_centres_.count(spec->data_centre) == 0)
+    if (!spec->data_centre.empty() && !map_.data_centres().empty() &&
+        map_.data_centres().count(spec->data_centre) == 0)
     {
         context_.refuse(call.id, {result_code::not_found,
                                   "data centre " + spec->data_centre});
         return;
     }
     pending_call pending;
-    pending.shard = home_for(*spec);
-    if (!data_centres_.empty() && pending.shard.empty())
+    pending.shard = home_for(now, *spec);
+    if (!map_.data_centres().empty() && pending.shard.empty())
     {
         context_.refuse(call.id, {result_code::job_unrunnable,
                                   spec->data_centre.empty()
@@ -141,8 +172,7 @@
     context_.out.emplace_back(std::move(commit));
 }
 
-void shard_scheduler::on_submitted(pending_call pending,
-                                   const store_result& result)
+void shard_set::on_submitted(pending_call pending, const store_result& result)
 {
     switch (result.status)
     {
@@ -153,8 +183,7 @@
                             {"home", pending.shard},
                             {"state", "accepted"}}
                            .dump());
-        if (pending.shard == ownership_.shard())
-            next_inbox_ = time_point{};
+        poll_soon(pending.shard);
         return;
     case store_status::conflict:
         context_.refuse(pending.call, {result_code::job_exists, pending.job});
@@ -175,8 +204,8 @@
     }
 }
 
-void shard_scheduler::on_submit_read_back(const pending_call& pending,
-                                          const store_result& result)
+void shard_set::on_submit_read_back(const pending_call& pending,
+                                    const store_result& result)
 {
     if (result.status == store_status::ok && !result.rows.empty())
     {
@@ -195,23 +224,23 @@
                     {result_code::store_write_unknown, "job " + pending.job});
 }
 
-void shard_scheduler::find_job(const api_call& call, const std::string& team,
-                               const std::string& job, bool cancels)
+void shard_set::find_job(const api_call& call, const std::string& team,
+                         const std::string& job, bool cancels)
 {
-    const auto found = jobs_.find(job);
-    if (active_ && found != jobs_.end())
+    for (const auto& shard : shards_)
     {
-        if (found->second.spec.team != team)
+        const auto* found = shard->find(job);
+        if (!found)
+            continue;
+        if (found->spec.team != team)
         {
             context_.refuse(call.id, {result_code::not_found, "job " + job});
             return;
         }
-        if (!cancels)
-        {
-            context_.reply(call.id, 200,
-                           status_json(found->second, ownership_.shard()));
-            return;
-        }
+        if (cancels)
+            break;
+        context_.reply(call.id, 200, status_json(*found, shard->shard()));
+        return;
     }
     pending_call pending;
     pending.at = pending_call::step::find_home;
@@ -224,7 +253,7 @@
     calls_.emplace(op, std::move(pending));
 }
 
-void shard_scheduler::on_home(pending_call pending, const store_result& result)
+void shard_set::on_home(pending_call pending, const store_result& result)
 {
     if (result.status != store_status::ok)
     {
@@ -249,8 +278,8 @@
     calls_.emplace(op, std::move(pending));
 }
 
-void shard_scheduler::on_job_row(const pending_call& pending,
-                                 const store_result& result)
+void shard_set::on_job_row(const pending_call& pending,
+                           const store_result& result)
 {
     if (result.status != store_status::ok)
     {
@@ -291,16 +320,15 @@
     context_.out.emplace_back(std::move(commit));
 }
 
-void shard_scheduler::on_cancel_written(const pending_call& pending,
-                                        const store_result& result)
+void shard_set::on_cancel_written(const pending_call& pending,
+                                  const store_result& result)
 {
     if (result.status == store_status::ok)
     {
         context_.reply(
             pending.call, 202,
             json{{"job", pending.job}, {"state", "cancelling"}}.dump());
-        if (pending.shard == ownership_.shard())
-            next_inbox_ = time_point{};
+        poll_soon(pending.shard);
         return;
     }
     const bool unknown = result.status == store_status::unknown;
--- /dev/null
+++ b/src/shard_map.cpp
@@ -0,0 +1,80 @@
+#include "shard_map_p.hpp"
+
+#include <algorithm>
+#include <limits>
+
+#include "job_tables_p.hpp"
+
+namespace carobcourse
+{
+
+namespace
+{
+
+/// Tasks of this amount that a worker without other work has room for.
+std::uint64_t slots_of(const resources& capacity, const resources& amount)
+{
+    auto slots = std::numeric_limits<std::int64_t>::max();
+    const auto limit_by = [&](std::int64_t has, std::int64_t needs)
+    {
+        if (needs > 0)
+            slots = std::min(slots, has / needs);
+    };
+    limit_by(capacity.cpu_millis, amount.cpu_millis);
+    limit_by(capacity.memory_mb, amount.memory_mb);
+    limit_by(capacity.accelerators, amount.accelerators);
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(slots, 0));
+}
+
+} // namespace
+
+void shard_map::set_hosts(const std::vector<host_entry>& hosts)
+{
+    known_ = known_ || !hosts.empty();
+    data_centres_.clear();
+    workers_.clear();
+    for (const auto& host : hosts)
+    {
+        if (host.kind != host_kind::worker)
+            continue;
+        data_centres_.insert(host.data_centre);
+        auto& shards = workers_[host.data_centre];
+        shards.resize(count_);
+        shards[0].push_back(host);
+    }
+}
+
+const std::vector<host_entry>&
+shard_map::workers(const std::string& data_centre, std::uint32_t index) const
+{
+    static const std::vector<host_entry> none;
+    const auto found = workers_.find(data_centre);
+    return found == workers_.end() ? none : found->second.at(index);
+}
+
+std::vector<std::string> shard_map::shards_for(const std::string& data_centre,
+                                               const job_spec& spec) const
+{
+    std::vector<std::string> possible;
+    std::vector<std::string> whole;
+    for (std::uint32_t index = 0; index < count_; ++index)
+    {
+        std::uint64_t slots = 0;
+        for (const auto& host : workers(data_centre, index))
+        {
+            // Bounded, as a task without needs fits any number of times.
+            if (host.state == host_state::live &&
+                spec.amount.fits_in(host.capacity))
+                slots += std::min<std::uint64_t>(
+                    slots_of(host.capacity, spec.amount), spec.tasks);
+        }
+        if (slots == 0)
+            continue;
+        possible.push_back(job_tables::shard_name(data_centre, index));
+        if (slots >= spec.tasks)
+            whole.push_back(possible.back());
+    }
+    return spec.kind == job_kind::gang && !whole.empty() ? whole : possible;
+}
+
+} // namespace carobcourse
--- a/src/shard_scheduler.cpp
+++ b/src/shard_scheduler.cpp
@@ -35,13 +35,14 @@
 } // namespace
 
 shard_scheduler::shard_scheduler(core_context& context,
-                                 const config_service& config)
+                                 const config_service& config,
+                                 const shard_map& map, std::uint32_t index)
     : context_(context), config_(config),
-      ownership_(context, job_tables::shard_of(context.identity.data_centre)),
+      ownership_(context,
+                 job_tables::shard_name(context.identity.data_centre, index)),
       workers_(context),
-      allotments_(context, config.current(),
-                  job_tables::shard_of(context.identity.data_centre)),
-      journal_(context)
+      allotments_(context, config.current(), ownership_.shard()), map_(map),
+      index_(index), journal_(context)
 {
 }
 
@@ -74,30 +75,23 @@
         on_cancelled_home(result);
         return true;
     }
-    const auto found = calls_.find(result.op);
-    if (found == calls_.end())
-        return false;
-    auto pending = std::move(found->second);
-    calls_.erase(found);
-    switch (pending.at)
-    {
-    case pending_call::step::submit:
-        on_submitted(std::move(pending), result);
-        break;
-    case pending_call::step::submit_read_back:
-        on_submit_read_back(pending, result);
-        break;
-    case pending_call::step::find_home:
-        on_home(std::move(pending), result);
-        break;
-    case pending_call::step::read_job:
-        on_job_row(pending, result);
-        break;
-    case pending_call::step::cancel:
-        on_cancel_written(pending, result);
-        break;
-    }
-    return true;
+    return false;
+}
+
+const job_record* shard_scheduler::find(const std::string& job) const
+{
+    const auto found = jobs_.find(job);
+    return active_ && found != jobs_.end() ? &found->second : nullptr;
+}
+
+std::optional<resources>
+shard_scheduler::room_for(time_point now, const resources& amount) const
+{
+    const auto& index = workers_.index();
+    if (!active_ || !ownership_.is_owner(now) ||
+        index.best_fit(amount) == no_worker)
+        return std::nullopt;
+    return index.free_capacity();
 }
 
 // ---------------------------------------------------- ownership and recovery
@@ -175,7 +169,7 @@
                    ownership_.fence_version());
     allotments_.begin(now, active_epoch_);
     workers_.begin_epoch(now, active_epoch_);
-    workers_.update_hosts(now, hosts_);
+    on_hosts(now);
 }
 
 void shard_scheduler::on_lost()
@@ -380,17 +374,11 @@
 
 // ---------------------------------------------------------------- scheduling
 
-void shard_scheduler::on_hosts(time_point now,
-                               const std::vector<host_entry>& hosts)
+void shard_scheduler::on_hosts(time_point now)
 {
-    hosts_ = hosts;
-    data_centres_.clear();
-    for (const auto& host : hosts)
-    {
-        if (host.kind == host_kind::worker)
-            data_centres_.insert(host.data_centre);
-    }
-    workers_.update_hosts(now, hosts);
+    workers_.update_hosts(now,
+                          map_.workers(context_.identity.data_centre, index_),
+                          map_.is_known());
 }
 
 void shard_scheduler::enqueue(const job_record& job, std::uint32_t index)
@@ -442,9 +430,11 @@
     task_changed(job.spec.id);
 }
 
-void shard_scheduler::on_worker_result(time_point now,
+bool shard_scheduler::on_worker_result(time_point now,
                                        const worker_result& result)
 {
+    if (!workers_.awaits(result))
+        return false;
     for (const auto& news : workers_.on_result(now, result))
     {
         track(now, news);
@@ -453,14 +443,15 @@
     for (const auto& usage : result.reply.usage)
         waiting_.observe_size(usage.attempt.task, usage.used);
     if (!ownership_.is_owner(now))
-        return;
+        return true;
     if (active_epoch_ != 0 && workers_.highest_epoch_seen() > active_epoch_)
     {
         step_down(now, "worker " + result.worker + " has seen a newer epoch");
-        return;
+        return true;
     }
     schedule(now);
     workers_.send_due(now, ownership_.acts_until(), may_start(now));
+    return true;
 }
 
 bool shard_scheduler::is_present(const job_record& job,
@@ -839,32 +830,20 @@
     journal_.commit(std::move(writes));
 }
 
-bool shard_scheduler::could_hold(const std::string& data_centre,
-                                 const resources& amount) const
-{
-    return std::any_of(hosts_.begin(), hosts_.end(),
-                       [&](const host_entry& host)
-                       {
-                           return host.kind == host_kind::worker &&
-                                  host.data_centre == data_centre &&
-                                  host.state == host_state::live &&
-                                  amount.fits_in(host.capacity);
-                       });
-}
-
 std::string shard_scheduler::new_home_for(const job_record& job)
 {
     std::vector<std::string> targets;
-    for (const auto& each : data_centres_)
+    for (const auto& each : map_.data_centres())
     {
-        if (each != context_.identity.data_centre &&
-            !config_.current().is_data_centre_out(each) &&
-            could_hold(each, job.spec.amount))
-            targets.push_back(each);
+        if (each == context_.identity.data_centre ||
+            config_.current().is_data_centre_out(each))
+            continue;
+        const auto shards = map_.shards_for(each, job.spec);
+        targets.insert(targets.end(), shards.begin(), shards.end());
     }
     if (targets.empty())
         return {};
-    return job_tables::shard_of(targets[moves_++ % targets.size()]);
+    return targets[moves_++ % targets.size()];
 }
 
 // --------------------------------------------------------------- planned stop
--- a/src/shard_scheduler_p.hpp
+++ b/src/shard_scheduler_p.hpp
@@ -1,5 +1,4 @@
-/// Runs the jobs of one shard while this host owns it, and takes jobs from
-/// callers for every shard.
+/// Runs the jobs of one shard while this host owns it.
 #pragma once
 
 #include <carobcourse/types.hpp>
@@ -16,6 +15,7 @@
 #include "job_p.hpp"
 #include "ownership_p.hpp"
 #include "policy_dispatcher_p.hpp"
+#include "shard_map_p.hpp"
 #include "worker_book_p.hpp"
 
 namespace carobcourse
@@ -25,60 +25,43 @@
 class shard_scheduler
 {
 public:
-    shard_scheduler(core_context& context, const config_service& config);
+    /// For the shard `index` of the own data centre. `map` must outlive it.
+    shard_scheduler(core_context& context, const config_service& config,
+                    const shard_map& map, std::uint32_t index);
 
     void on_tick(time_point now);
-    void on_hosts(time_point now, const std::vector<host_entry>& hosts);
-    void on_worker_result(time_point now, const worker_result& result);
+    /// Takes the workers that the map has now.
+    void on_hosts(time_point now);
+    /// Returns true when the result was for this shard.
+    bool on_worker_result(time_point now, const worker_result& result);
     /// Returns true when the result was for this part.
     bool on_store_result(time_point now, const store_result& result);
-    /// Handles calls on jobs. Returns false for other paths.
-    bool on_call(time_point now, const api_call& call);
+
+    const std::string& shard() const
+    {
+        return ownership_.shard();
+    }
+    /// Job of this shard, null while this host does not run it.
+    const job_record* find(const std::string& job) const;
+    /// Free capacity for new work, empty when this host does not run the
+    /// shard or no worker has room for a task of this amount now.
+    std::optional<resources> room_for(time_point now,
+                                      const resources& amount) const;
+    /// Reads the inbox at the next tick.
+    void poll_soon()
+    {
+        next_inbox_ = time_point{};
+    }
 
     /// Gives the shard up; no task is started after it.
     void stop(time_point now);
-    /// True when no accepted call waits for its answer and the shard is
-    /// given up.
+    /// True when the shard is given up.
     bool is_drained() const
     {
-        return calls_.empty() && ownership_.is_released();
+        return ownership_.is_released();
     }
 
 private:
-    /// A caller's operation that waits for the table.
-    struct pending_call
-    {
-        enum class step : std::uint8_t
-        {
-            submit,
-            submit_read_back,
-            find_home,
-            read_job,
-            cancel
-        };
-        step at = step::submit;
-        call_id call = 0;
-        std::string job;
-        std::string team;
-        std::string shard;
-        bool cancels = false;
-        std::string write_id;
-    };
-
-    // Calls.
-    void submit(time_point now, const api_call& call, const std::string& team);
-    void find_job(const api_call& call, const std::string& team,
-                  const std::string& job, bool cancels);
-    void on_submitted(pending_call pending, const store_result& result);
-    void on_submit_read_back(const pending_call& pending,
-                             const store_result& result);
-    void on_home(pending_call pending, const store_result& result);
-    void on_job_row(const pending_call& pending, const store_result& result);
-    void on_cancel_written(const pending_call& pending,
-                           const store_result& result);
-    /// Returns a shard for the job, empty when no host could hold a task.
-    std::string home_for(const job_spec& spec) const;
-
     /// A result that the worker keeps until the job's row is durable.
     struct result_ack
     {
@@ -122,8 +105,6 @@
     void stop_task_of(job_record& job, std::uint32_t index, bool checkpoint);
     void move_jobs(time_point now);
     std::string new_home_for(const job_record& job);
-    bool could_hold(const std::string& data_centre,
-                    const resources& amount) const;
 
     // Scheduling.
     void schedule(time_point now);
@@ -156,8 +137,8 @@
     ownership ownership_;
     worker_book workers_;
     allotment allotments_;
-    std::vector<host_entry> hosts_;
-    std::set<std::string> data_centres_;
+    const shard_map& map_;
+    const std::uint32_t index_;
 
     bool active_ = false; ///< Owner, and jobs loaded.
     bool loading_ = false;
@@ -187,7 +168,6 @@
     std::optional<op_id> load_op_;
     std::optional<op_id> inbox_op_;
     std::map<op_id, std::string> cancelled_homes_; ///< Reads, by job.
-    std::map<op_id, pending_call> calls_;
 };
 
 } // namespace carobcourse
--- /dev/null
+++ b/src/shard_set.cpp
@@ -0,0 +1,93 @@
+#include "shard_set_p.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobcourse
+{
+
+shard_set::shard_set(core_context& context, const config_service& config)
+    : context_(context), config_(config), map_(1)
+{
+    for (std::uint32_t index = 0; index < map_.count(); ++index)
+        shards_.push_back(
+            std::make_unique<shard_scheduler>(context, config, map_, index));
+}
+
+void shard_set::on_tick(time_point now)
+{
+    for (const auto& shard : shards_)
+        shard->on_tick(now);
+}
+
+void shard_set::on_hosts(time_point now, const std::vector<host_entry>& hosts)
+{
+    map_.set_hosts(hosts);
+    for (const auto& shard : shards_)
+        shard->on_hosts(now);
+}
+
+void shard_set::on_worker_result(time_point now, const worker_result& result)
+{
+    for (const auto& shard : shards_)
+    {
+        if (shard->on_worker_result(now, result))
+            return;
+    }
+}
+
+void shard_set::on_store_result(time_point now, const store_result& result)
+{
+    for (const auto& shard : shards_)
+    {
+        if (shard->on_store_result(now, result))
+            return;
+    }
+    const auto found = calls_.find(result.op);
+    if (found == calls_.end())
+        return;
+    auto pending = std::move(found->second);
+    calls_.erase(found);
+    switch (pending.at)
+    {
+    case pending_call::step::submit:
+        on_submitted(std::move(pending), result);
+        break;
+    case pending_call::step::submit_read_back:
+        on_submit_read_back(pending, result);
+        break;
+    case pending_call::step::find_home:
+        on_home(std::move(pending), result);
+        break;
+    case pending_call::step::read_job:
+        on_job_row(pending, result);
+        break;
+    case pending_call::step::cancel:
+        on_cancel_written(pending, result);
+        break;
+    }
+}
+
+void shard_set::stop(time_point now)
+{
+    for (const auto& shard : shards_)
+        shard->stop(now);
+}
+
+bool shard_set::is_drained() const
+{
+    return calls_.empty() &&
+           std::all_of(shards_.begin(), shards_.end(),
+                       [](const auto& shard) { return shard->is_drained(); });
+}
+
+void shard_set::poll_soon(const std::string& shard)
+{
+    for (const auto& each : shards_)
+    {
+        if (each->shard() == shard)
+            each->poll_soon();
+    }
+}
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/shard_set_p.hpp
@@ -0,0 +1,85 @@
+/// The shards of the own data centre on this host, and the callers' operations
+/// on jobs of every shard.
+#pragma once
+
+#include <carobcourse/types.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config_service_p.hpp"
+#include "core_context_p.hpp"
+#include "shard_map_p.hpp"
+#include "shard_scheduler_p.hpp"
+
+namespace carobcourse
+{
+
+/// Passes each event to the shard that it is for. Not thread safe.
+class shard_set
+{
+public:
+    shard_set(core_context& context, const config_service& config);
+
+    void on_tick(time_point now);
+    void on_hosts(time_point now, const std::vector<host_entry>& hosts);
+    void on_worker_result(time_point now, const worker_result& result);
+    void on_store_result(time_point now, const store_result& result);
+    /// Handles calls on jobs. Returns false for other paths.
+    bool on_call(time_point now, const api_call& call);
+
+    /// Gives all shards up; no task is started after it.
+    void stop(time_point now);
+    /// True when no accepted call waits for its answer and every shard is
+    /// given up.
+    bool is_drained() const;
+
+private:
+    /// A caller's operation that waits for the table.
+    struct pending_call
+    {
+        enum class step : std::uint8_t
+        {
+            submit,
+            submit_read_back,
+            find_home,
+            read_job,
+            cancel
+        };
+        step at = step::submit;
+        call_id call = 0;
+        std::string job;
+        std::string team;
+        std::string shard;
+        bool cancels = false;
+        std::string write_id;
+    };
+
+    // Calls.
+    void submit(time_point now, const api_call& call, const std::string& team);
+    void find_job(const api_call& call, const std::string& team,
+                  const std::string& job, bool cancels);
+    void on_submitted(pending_call pending, const store_result& result);
+    void on_submit_read_back(const pending_call& pending,
+                             const store_result& result);
+    void on_home(pending_call pending, const store_result& result);
+    void on_job_row(const pending_call& pending, const store_result& result);
+    void on_cancel_written(const pending_call& pending,
+                           const store_result& result);
+    /// Returns a shard for the job, empty when no host could hold a task.
+    std::string home_for(time_point now, const job_spec& spec);
+    /// Picks the job's shard of a data centre; empty when none could hold it.
+    std::string shard_in(time_point now, const std::string& data_centre,
+                         const job_spec& spec);
+    void poll_soon(const std::string& shard);
+
+    core_context& context_;
+    const config_service& config_;
+    shard_map map_;
+    std::vector<std::unique_ptr<shard_scheduler>> shards_;
+    std::size_t homes_given_ = 0; ///< To shards in turn.
+    std::map<op_id, pending_call> calls_;
+};
+
+} // namespace carobcourse
--- a/src/worker_book.cpp
+++ b/src/worker_book.cpp
@@ -66,10 +66,10 @@
 }
 
 void worker_book::update_hosts(time_point now,
-                               const std::vector<host_entry>& hosts)
+                               const std::vector<host_entry>& hosts, bool known)
 {
     std::map<std::string, host_entry> listed;
-    listed_ = listed_ || !hosts.empty();
+    listed_ = listed_ || known;
     for (const auto& host : hosts)
     {
         if (host.kind != host_kind::worker ||
@@ -291,7 +291,7 @@
     worker_sync message;
     message.worker = worker.host.id;
     message.address = worker.host.address;
-    message.sequence = ++sequence_;
+    message.sequence = context_.next_sync();
     message.epoch = epoch_;
     message.owner = context_.identity.host;
     message.token = worker.token;
@@ -322,6 +322,13 @@
     context_.out.emplace_back(std::move(message));
 }
 
+bool worker_book::awaits(const worker_result& result) const
+{
+    const auto found = workers_.find(result.worker);
+    return found != workers_.end() &&
+           found->second.in_flight == result.sequence;
+}
+
 std::vector<attempt_news> worker_book::on_result(time_point now,
                                                  const worker_result& result)
 {
--- a/src/worker_book_p.hpp
+++ b/src/worker_book_p.hpp
@@ -56,8 +56,14 @@
     void begin_epoch(time_point now, std::uint64_t epoch);
 
     /// Adds new workers of the list and notes those that are leaving. A
-    /// worker that is listed twice counts once.
-    void update_hosts(time_point now, const std::vector<host_entry>& hosts);
+    /// worker that is listed twice counts once. `known` states that the list
+    /// was seen, as a shard may have no workers.
+    void update_hosts(time_point now, const std::vector<host_entry>& hosts,
+                      bool known);
+    void update_hosts(time_point now, const std::vector<host_entry>& hosts)
+    {
+        update_hosts(now, hosts, !hosts.empty());
+    }
     /// Counts with a worker that a task was recorded on, listed or not: until
     /// it answers or the longest lease is over, it may run tasks.
     void expect(time_point now, const std::string& worker);
@@ -102,6 +108,8 @@
     /// Sends what is due; nothing goes out after `acts_until`, and no start
     /// unless `may_start`.
     void send_due(time_point now, time_point acts_until, bool may_start);
+    /// True when the result answers a sync of this shard.
+    bool awaits(const worker_result& result) const;
     std::vector<attempt_news> on_result(time_point now,
                                         const worker_result& result);
     /// Expires leases of workers that do not answer.
@@ -184,7 +192,6 @@
     std::uint64_t epoch_ = 0;
     bool listed_ = false; ///< The host list was seen in this epoch.
     time_point epoch_began_;
-    std::uint64_t sequence_ = 0;
     std::uint64_t highest_epoch_seen_ = 0;
     std::map<std::string, worker_record> workers_;
     /// Workers of the data centre by the time of the latest list that had
--- a/tests/test_peer_grants.cpp
+++ b/tests/test_peer_grants.cpp
@@ -89,8 +89,8 @@
     grants.on_introduced("b");
     CHECK_FALSE(grants.may_change(start + 4999ms));
     CHECK(grants.may_change(start + 5s));
-    CHECK_FALSE(grants.begin_takeover(start + 4999ms, "b"));
-    CHECK(grants.begin_takeover(start + 5s, "b"));
+    CHECK_FALSE(grants.begin_takeover(start + 4999ms, "north.0", "b"));
+    CHECK(grants.begin_takeover(start + 5s, "north.0", "b"));
     // A new incarnation of b does not know it.
     grants.set_members(start + 6s, {{"b", {"b2", "north", "b"}}});
     CHECK_FALSE(grants.may_change(start + 1h));
@@ -179,12 +179,12 @@
     auto grants = registered_grants(start);
     const auto later = start + 10s;
     CHECK(grants.promise_shards(later, "b") == 4000ms);
-    CHECK_FALSE(grants.begin_takeover(later + 4239ms, "b"));
+    CHECK_FALSE(grants.begin_takeover(later + 4239ms, "north.0", "b"));
     CHECK(grants.promise_shards(later, "b") == 4000ms);
-    CHECK(grants.begin_takeover(later + 4240ms, "b"));
+    CHECK(grants.begin_takeover(later + 4240ms, "north.0", "b"));
     CHECK(grants.promise_shards(later + 4240ms, "b") == 0ms);
     CHECK(grants.promise_shards(later + 4240ms, "c") == 4000ms);
-    grants.end_takeover();
+    grants.end_takeover("north.0");
     CHECK(grants.promise_shards(later + 5s, "b") == 4000ms);
 }
 
