Divide the workers of a data centre into shards by rack

Cause: the shard of a worker was fixed as "<data centre>.0", so the load of an owner could not be divided.

Ruled out: dividing by the number of workers, which moves workers between shards whenever one is added; trusting the settings alone, as two hosts with different numbers would each own the same workers in other shards.

Change: the setting cluster.shards_per_data_centre (1 to 64, default 1). A worker belongs to the shard of the xxHash of its rack, or of its id without a rack. Jobs go to an own shard with the most free capacity, or to the shards in turn.

Fault found on the way: the allotments of the first shard took the results of all shards' allotments, so the other shards started nothing.

Conclusion: the division works in one process; which host owns which shard is not balanced yet.

--- a/include/carobcourse/result_code.hpp
+++ b/include/carobcourse/result_code.hpp
@@ -51,6 +51,8 @@
       "the table service is unavailable")                                      \
     X(store_write_unknown, 1204, 504, unknown,                                 \
       "the outcome of the write is unknown")                                   \
+    X(shards_unconfirmed, 1205, 503, not_run,                                  \
+      "the number of shards is not confirmed for this host")                   \
     X(request_in_progress, 1301, 409, not_applicable,                          \
       "a request with this idempotency key is in progress")                    \
     X(outcome_unknown, 1302, 504, unknown,                                     \
--- a/src/allotment.cpp
+++ b/src/allotment.cpp
@@ -291,7 +291,7 @@
     }
     const auto found = ops_.find(result.op);
     if (found == ops_.end())
-        return result.op.owner == component::allotments;
+        return false;
     const auto team = found->second;
     ops_.erase(found);
     auto& state = teams_[team];
--- a/src/core_context_p.hpp
+++ b/src/core_context_p.hpp
@@ -27,6 +27,7 @@
     std::string peer_address; ///< Where other entry hosts reach it.
     std::string operator_key;
     duration drain_deadline = std::chrono::seconds(30);
+    std::uint32_t shards_per_data_centre = 1;
 };
 
 /// Shared by the parts of one entry host. Used by the core thread only.
--- a/src/log_event_p.hpp
+++ b/src/log_event_p.hpp
@@ -40,6 +40,8 @@
       "the table or a worker contradicts the owner of a shard")                \
     X(shard_recovered, 2307, info,                                             \
       "every worker of a shard has answered or its lease is over")             \
+    X(shards_differ, 2308, error,                                              \
+      "the cluster has another number of shards; this host owns none")         \
     X(job_accepted, 2401, info, "a job is durable")                            \
     X(job_ended, 2402, info, "a job has ended")                                \
     X(job_parked, 2403, warning, "a job fails on several workers")             \
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr std::int64_t max_drain_seconds = 3600;
+constexpr std::int64_t max_shards = 64;
 constexpr std::size_t min_secret_length = 16;
 
 void check_address(toml_reader& reader, const char* key,
@@ -123,6 +124,8 @@
                                 result_code::invalid_settings, problems);
             out.cluster_secret = cluster.required_string("secret");
             check_secret(cluster, "secret", out.cluster_secret);
+            out.shards_per_data_centre = cluster.optional_integer(
+                "shards_per_data_centre", 1, 1, max_shards);
             cluster.finish();
         }
         if (const auto* part = reader.optional_table("log"))
--- a/src/settings_p.hpp
+++ b/src/settings_p.hpp
@@ -24,6 +24,7 @@
     std::string objects_url;
     std::string hosts_url;
     std::string cluster_secret;
+    std::int64_t shards_per_data_centre = 1; ///< Same for all entry hosts.
     std::string log_level = "info";
 };
 
--- a/src/shard_calls.cpp
+++ b/src/shard_calls.cpp
@@ -121,6 +121,14 @@
 void shard_set::submit(time_point now, const api_call& call,
                        const std::string& team)
 {
+    // A home is named by the number of shards, and with several of them it
+    // depends on where the workers are.
+    if (agreement_.current() != shard_agreement::state::agreed ||
+        (map_.count() > 1 && !map_.is_known()))
+    {
+        context_.refuse(call.id, {result_code::shards_unconfirmed, ""});
+        return;
+    }
     auto spec = parse_job_spec(call.body, team);
     if (!spec)
     {
--- a/src/shard_map.cpp
+++ b/src/shard_map.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <limits>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include "job_tables_p.hpp"
 
 namespace carobcourse
@@ -40,10 +43,17 @@
         data_centres_.insert(host.data_centre);
         auto& shards = workers_[host.data_centre];
         shards.resize(count_);
-        shards[0].push_back(host);
+        shards[index_of(host)].push_back(host);
     }
 }
 
+std::uint32_t shard_map::index_of(const host_entry& worker) const
+{
+    const auto& name = worker.rack.empty() ? worker.id : worker.rack;
+    return static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size()) %
+                                      count_);
+}
+
 const std::vector<host_entry>&
 shard_map::workers(const std::string& data_centre, std::uint32_t index) const
 {
--- a/src/shard_map_p.hpp
+++ b/src/shard_map_p.hpp
@@ -47,6 +47,10 @@
     std::vector<std::string> shards_for(const std::string& data_centre,
                                         const job_spec& spec) const;
 
+    /// Index of a worker's shard in its data centre. The workers of a rack are
+    /// in one shard, so that the failure of a rack affects only one.
+    std::uint32_t index_of(const host_entry& worker) const;
+
 private:
     std::uint32_t count_;
     bool known_ = false;
--- a/src/shard_set.cpp
+++ b/src/shard_set.cpp
@@ -7,7 +7,8 @@
 {
 
 shard_set::shard_set(core_context& context, const config_service& config)
-    : context_(context), config_(config), map_(1)
+    : context_(context), config_(config), agreement_(context),
+      map_(context.identity.shards_per_data_centre)
 {
     for (std::uint32_t index = 0; index < map_.count(); ++index)
         shards_.push_back(
@@ -16,6 +17,9 @@
 
 void shard_set::on_tick(time_point now)
 {
+    agreement_.on_tick(now);
+    if (agreement_.current() != shard_agreement::state::agreed)
+        return;
     for (const auto& shard : shards_)
         shard->on_tick(now);
 }
@@ -38,6 +42,8 @@
 
 void shard_set::on_store_result(time_point now, const store_result& result)
 {
+    if (agreement_.on_store_result(now, result))
+        return;
     for (const auto& shard : shards_)
     {
         if (shard->on_store_result(now, result))
--- a/src/shard_set_p.hpp
+++ b/src/shard_set_p.hpp
@@ -10,6 +10,7 @@
 
 #include "config_service_p.hpp"
 #include "core_context_p.hpp"
+#include "shard_agreement_p.hpp"
 #include "shard_map_p.hpp"
 #include "shard_scheduler_p.hpp"
 
@@ -29,6 +30,13 @@
     /// Handles calls on jobs. Returns false for other paths.
     bool on_call(time_point now, const api_call& call);
 
+    /// True when the cluster has another number of shards than this host,
+    /// which then owns none.
+    bool differs() const
+    {
+        return agreement_.current() == shard_agreement::state::differs;
+    }
+
     /// Gives all shards up; no task is started after it.
     void stop(time_point now);
     /// True when no accepted call waits for its answer and every shard is
@@ -76,6 +84,7 @@
 
     core_context& context_;
     const config_service& config_;
+    shard_agreement agreement_;
     shard_map map_;
     std::vector<std::unique_ptr<shard_scheduler>> shards_;
     std::size_t homes_given_ = 0; ///< To shards in turn.
--- a/src/shell_serve.cpp
+++ b/src/shell_serve.cpp
@@ -120,6 +120,8 @@
         identity.operator_key = settings.operator_key;
         identity.drain_deadline =
             std::chrono::milliseconds(settings.drain_deadline_ms);
+        identity.shards_per_data_centre =
+            static_cast<std::uint32_t>(settings.shards_per_data_centre);
         const auto seed =
             std::stoull(entropy_.hex(sizeof(std::uint64_t)), nullptr, 16);
         if (!trace_path.empty())
--- a/src/trace.cpp
+++ b/src/trace.cpp
@@ -326,7 +326,8 @@
             {"data_centre", identity.data_centre},
             {"incarnation", identity.incarnation},
             {"peer_address", identity.peer_address},
-            {"operator_key", identity.operator_key}};
+            {"operator_key", identity.operator_key},
+            {"shards", identity.shards_per_data_centre}};
 }
 
 host_identity identity_from_json(const json& value)
@@ -337,6 +338,8 @@
     identity.incarnation = value.at("incarnation").get<std::string>();
     identity.peer_address = value.value("peer_address", std::string());
     identity.operator_key = value.value("operator_key", std::string());
+    identity.shards_per_data_centre =
+        std::max(value.value("shards", std::uint32_t{1}), std::uint32_t{1});
     return identity;
 }
 
--- a/tests/core_harness.hpp
+++ b/tests/core_harness.hpp
@@ -100,6 +100,9 @@
 
     // -------------------------------------------------------------- set-up
 
+    /// Of the hosts added from now on.
+    std::uint32_t shards_per_data_centre = 1;
+
     void add_entry_host(const std::string& id, const std::string& data_centre)
     {
         auto& host = hosts_[id];
@@ -117,6 +120,7 @@
         identity.peer_address = id;
         identity.operator_key = operator_key;
         identity.drain_deadline = std::chrono::seconds(30);
+        identity.shards_per_data_centre = shards_per_data_centre;
         host.core =
             std::make_unique<entry_host>(identity, random_(), *host.entropy);
         list_host(id, host_kind::entry, data_centre, "", {}, {});
--- /dev/null
+++ b/tests/test_recovery_shards.cpp
@@ -0,0 +1,175 @@
+// Several shards in one data centre.
+#include "core_harness.hpp"
+#include "shard_map_p.hpp"
+
+using namespace carobcourse;
+using namespace carobcourse::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint32_t shard_count = 3;
+
+std::string job_body(const std::string& id, int tasks, int run_ms)
+{
+    return json{{"id", id},
+                {"tasks", tasks},
+                {"run_ms", run_ms},
+                {"resources", {{"cpu_millis", 1000}, {"memory_mb", 100}}}}
+        .dump();
+}
+
+host_entry worker_in(const std::string& id, const std::string& rack)
+{
+    host_entry host;
+    host.id = id;
+    host.data_centre = "north";
+    host.rack = rack;
+    host.capacity = {4000, 8000, 0};
+    return host;
+}
+
+/// A data centre with a rack for each of its shards.
+struct sharded_cell
+{
+    explicit sharded_cell(std::uint64_t seed) : cell(seed)
+    {
+        cell.shards_per_data_centre = shard_count;
+        const shard_map map(shard_count);
+        std::set<std::uint32_t> seen;
+        for (int i = 0; seen.size() < shard_count; ++i)
+        {
+            const auto rack = fmt::format("r{}", i);
+            const auto index = map.index_of(worker_in("", rack));
+            if (!seen.insert(index).second)
+                continue;
+            for (const auto* name : {"a", "b"})
+                cell.add_worker(fmt::format("w{}{}", index, name), "north",
+                                rack, {4000, 8000, 0});
+        }
+        cell.add_entry_host("north-1", "north");
+        cell.add_entry_host("north-2", "north");
+        cell.run_for(20s);
+        key = cell.add_team("north-1", "climb-desk");
+    }
+
+    /// Number of shards by owner as the table has it.
+    std::map<std::string, int> owners()
+    {
+        std::map<std::string, int> owners;
+        const auto answer = cell.table().scan("shard", "north.", "", 100);
+        for (const auto& row : answer.body["rows"])
+        {
+            const auto value = json::parse(row["value"].get<std::string>());
+            ++owners[value.value("owner", std::string())];
+        }
+        return owners;
+    }
+    bool is_succeeded(const std::string& host, const std::string& job)
+    {
+        const auto reply = cell.call(host, "GET", "/v1/jobs/" + job, key);
+        return json::parse(reply.body).value("state", "") == "succeeded";
+    }
+    /// Homes of jobs that were submitted through a host, with the replies.
+    std::string submit(const std::string& host, const std::string& body)
+    {
+        const auto reply = cell.call(host, "POST", "/v1/jobs", key, body);
+        INFO(reply.body);
+        REQUIRE(reply.http_status == 202);
+        return json::parse(reply.body)["home"];
+    }
+    bool has_logged(const std::string& host, log_code code) const
+    {
+        return std::any_of(cell.logs.begin(), cell.logs.end(),
+                           [&](const auto& item) {
+                               return item.first == host &&
+                                      item.second.code == code;
+                           });
+    }
+
+    fake_cell cell;
+    std::string key;
+};
+
+} // namespace
+
+TEST_CASE("the workers of a rack are in one shard and each worker in one")
+{
+    // Guards against a worker with two owners or none, and against a division
+    // that leaves a shard without racks.
+    shard_map map(4);
+    std::vector<host_entry> hosts;
+    for (int i = 0; i < 240; ++i)
+        hosts.push_back(
+            worker_in(fmt::format("w{}", i), fmt::format("r{}", i / 6)));
+    hosts.push_back(worker_in("alone", ""));
+    map.set_hosts(hosts);
+    std::map<std::string, std::uint32_t> shard_of_rack;
+    std::size_t workers = 0;
+    for (std::uint32_t index = 0; index < 4; ++index)
+    {
+        // Even would be 10 racks.
+        CHECK(map.workers("north", index).size() >= std::size_t{24});
+        for (const auto& host : map.workers("north", index))
+        {
+            ++workers;
+            if (!host.rack.empty())
+                CHECK(shard_of_rack.emplace(host.rack, index).first->second ==
+                      index);
+        }
+    }
+    CHECK(workers == hosts.size());
+    CHECK(shard_of_rack.size() == 40);
+}
+
+TEST_CASE("a host with another number of shards takes none")
+{
+    // Guards against two divisions of the workers at once, which give a
+    // worker two owners (I1).
+    sharded_cell it(601);
+    it.cell.shards_per_data_centre = 2;
+    it.cell.add_entry_host("north-3", "north");
+    it.cell.run_for(5s);
+    const auto health = it.cell.call("north-3", "GET", "/readyz");
+    CHECK(health.http_status == 503);
+    CHECK(it.has_logged("north-3", log_code::shards_differ));
+    const auto refused = it.cell.call("north-3", "POST", "/v1/jobs", it.key,
+                                      job_body("j1", 1, 500));
+    CHECK(fake_cell::error_code(refused) == "CC-1205");
+    it.cell.kill("north-1");
+    it.cell.kill("north-2");
+    it.cell.run_for(60s);
+    CHECK(it.owners().count("north-3") == 0);
+    CHECK_FALSE(it.has_logged("north-3", log_code::shard_acquired));
+}
+
+TEST_CASE("jobs run in every shard and any host answers for them")
+{
+    // Guards against results, timers and calls that reach the wrong shard.
+    sharded_cell it(611);
+    std::set<std::string> homes;
+    for (int i = 0; i < 12; ++i)
+        homes.insert(it.submit(i % 2 == 0 ? "north-1" : "north-2",
+                               job_body(fmt::format("j{}", i), 1, 10000)));
+    CHECK(homes.size() == shard_count);
+    // A shard's first start for a team waits for its allotment.
+    CHECK(it.cell.run_until(8s, [&]
+                            { return it.cell.task_record().size() == 12; }));
+    for (const auto* host : {"north-1", "north-2"})
+    {
+        const auto job = host == std::string("north-1") ? "j1" : "j2";
+        const auto cancel = it.cell.call(
+            host, "POST", std::string("/v1/jobs/") + job + "/cancel", it.key);
+        CHECK(cancel.http_status == 202);
+    }
+    it.cell.run_for(20s);
+    for (const auto* host : {"north-1", "north-2"})
+    {
+        CHECK(it.is_succeeded(host, "j0"));
+        CHECK(it.is_succeeded(host, "j11"));
+        CHECK_FALSE(it.is_succeeded(host, "j1"));
+        CHECK_FALSE(it.is_succeeded(host, "j2"));
+    }
+    CHECK(it.cell.overlapping_tasks().empty());
+}
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -81,6 +81,26 @@
 
 } // namespace
 
+TEST_CASE("the number of shards is a setting of the cluster with a range")
+{
+    // Guards against a host that divides the workers by a number that no
+    // other host has.
+    const std::string text = good_settings;
+    const auto with = [&](const std::string& line)
+    {
+        auto changed = text;
+        changed.insert(changed.find("[log]"), line + "\n");
+        return parse_settings(changed, "a.toml");
+    };
+    REQUIRE(parse_settings(text, "a.toml"));
+    CHECK(parse_settings(text, "a.toml")->shards_per_data_centre == 1);
+    REQUIRE(with("shards_per_data_centre = 64"));
+    CHECK(with("shards_per_data_centre = 64")->shards_per_data_centre == 64);
+    CHECK_FALSE(with("shards_per_data_centre = 0"));
+    CHECK_FALSE(with("shards_per_data_centre = 65"));
+    CHECK_FALSE(with("shards_per_data_centre = \"4\""));
+}
+
 TEST_CASE("good settings are read, and bad ones are reported all at once")
 {
     // Guards against a stop at the first problem.
