Delete the inbox row of a job that moves to another data centre

Cause: an owner that took a shard over loads its jobs, and in a data centre that is out it moves them at once.

Ruled out: late syncs and stale owners; the table's commits of the job show two moves by the same owner, one epoch, half a second apart.

Change: the commit that moves a job also deletes its inbox row, and a poll that was on its way does not bring it back.

Conclusion: a move leaves nothing of the job behind.

--- a/src/shard_scheduler.cpp
+++ b/src/shard_scheduler.cpp
@@ -21,7 +21,7 @@
 constexpr std::uint32_t max_task_failures = 3;
 /// So many workers that fail a job's tasks speak against the job.
 constexpr std::size_t max_failed_workers = 5;
-constexpr std::size_t rows_per_move = 4;
+constexpr std::size_t rows_per_move = 5;
 /// A planned stop waits so long for the table to take the last progress.
 constexpr auto stop_flush_bound = std::chrono::seconds(5);
 
@@ -723,6 +723,8 @@
                      fmt::format("{} to {}", write.job, write.moved_to));
         dirty_.erase(write.job);
         unsettled_.erase(write.job); // Left in the inbox and forwarded.
+        deleted_inbox_[job_tables::job_key(ownership_.shard(), write.job)] =
+            inbox_poll_ + 1;
         allotments_.note_job_ended(write.job);
         jobs_.erase(found);
         return;
@@ -813,6 +815,12 @@
             {job_tables::jobs, job_tables::job_key(target, id), 0, text});
         writes.push_back({job_tables::inbox, job_tables::job_key(target, id),
                           std::nullopt, text});
+        // The row by which the job came may not have been polled yet; it
+        // would bring the job back here.
+        writes.push_back({job_tables::inbox,
+                          job_tables::job_key(ownership_.shard(), id),
+                          std::nullopt,
+                          {}});
         // Only the owner of the home shard moves a job, and the fence row
         // proves that this is still the owner.
         writes.push_back({job_tables::homes, id, std::nullopt,
