Balance the shards of a data centre over its entry hosts

Cause: the first host to read the rows took every shard, so several shards did not divide the load.

Ruled out: fixed assignment by hash of host and shard, as hosts come and go and a shard would wait for a dead host; balance at takeover only, as hosts start one after the other and the first would keep everything.

Change: heartbeats state the shards owned (only with several shards). A host takes at once only its fair part, shards by live hosts rounded up, and any other shard 6 s after that became free: two polls of the others, so that the takeover still ends before the leases of the workers. An owner with more than its part for 10 s, while a peer has fewer, hands one shard over as at a planned stop. The gauge carobcourse_shards_owned counts them.

Before and after: with the rule switched off, two hosts and three shards leave all three at one host and a restarted host gets none (both checks of "hosts share the shards and a survivor takes all of them" fail); with it both hosts own shards, a survivor owns all within 25 s, and six tasks of 150 s run through takeover and handover without a second start.

test_recovery_{shards,takeover,drain,random}, test_core_path, test_membership and test_peer_grants pass.

Conclusion: shards spread, and none stays without an owner.

--- a/src/core_context_p.hpp
+++ b/src/core_context_p.hpp
@@ -14,6 +14,7 @@
 #include "keyring_p.hpp"
 #include "metrics_p.hpp"
 #include "peer_grants_p.hpp"
+#include "shard_balance_p.hpp"
 
 namespace carobcourse
 {
@@ -36,7 +37,8 @@
 public:
     core_context(host_identity identity, std::uint64_t seed,
                  entropy_source& entropy)
-        : identity(std::move(identity)), random(seed), entropy(entropy)
+        : identity(std::move(identity)), random(seed), entropy(entropy),
+          balance(this->identity.shards_per_data_centre)
     {
     }
 
@@ -45,6 +47,7 @@
     entropy_source& entropy;
     metrics counters;
     peer_grants grants;
+    shard_balance balance;
     effects out;
 
     op_id next_op(component owner)
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -322,11 +322,13 @@
     sent_.emplace_back(++sequence_, now);
     if (sent_.size() > sent_kept)
         sent_.pop_front();
-    const json body{{"incarnation", context_.identity.incarnation},
-                    {"data_centre", context_.identity.data_centre},
-                    {"peer_address", context_.identity.peer_address},
-                    {"seq", sequence_},
-                    {"version", config_.current().version()}};
+    json body{{"incarnation", context_.identity.incarnation},
+              {"data_centre", context_.identity.data_centre},
+              {"peer_address", context_.identity.peer_address},
+              {"seq", sequence_},
+              {"version", config_.current().version()}};
+    if (const auto shards = context_.balance.stated())
+        body["shards"] = *shards;
     for (const auto& [host, member] : context_.grants.members())
         send(host, "heartbeat", body);
 }
@@ -461,6 +463,9 @@
     if (confirmed && now < *confirmed + config::config_freshness_bound)
         reply["age_ms"] = to_ms(now - *confirmed) + 1;
     send(host, "heartbeat_ack", reply);
+    if (body.contains("shards") &&
+        text_of(body, "data_centre") == context_.identity.data_centre)
+        context_.balance.on_peer(now, host, number_of(body, "shards"));
     on_peer_version(now, host, number_of(body, "version"));
 }
 
--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -42,6 +42,7 @@
     if (acts_until_ && now >= *acts_until_)
     {
         acts_until_.reset();
+        context_.balance.note_given_up(shard_);
         context_.log(log_code::shard_lost,
                      fmt::format("{} epoch {}", shard_, epoch_));
     }
@@ -96,9 +97,13 @@
     context_.grants.end_takeover(shard_);
     if (result.rows.empty())
     {
-        take(now, 0, 1);
+        if (!absent_since_)
+            absent_since_ = now;
+        if (context_.balance.may_take(now, *absent_since_))
+            take(now, 0, 1);
         return;
     }
+    absent_since_.reset();
     const auto& row = result.rows.front();
     const auto value = json::parse(row.value, nullptr, false);
     if (!value.is_object())
@@ -118,9 +123,10 @@
     // After a renewal whose reply was lost the epoch stays.
     if (own && is_owner(now) && seen_epoch_ == epoch_)
         take(now, row.version, epoch_);
-    else if (own || free)
+    else if (own || (free && context_.balance.may_take(now, watched_since_)))
         take(now, row.version, seen_epoch_ + 1);
-    else if (now - watched_since_ >= lease)
+    else if (!free && now - watched_since_ >= lease &&
+             context_.balance.may_take(now, watched_since_ + lease))
     {
         if (context_.grants.begin_takeover(now, shard_, owner_))
             take(now, row.version, seen_epoch_ + 1);
@@ -134,6 +140,7 @@
 {
     op_ = context_.next_op(component::ownership);
     writing_ = true;
+    context_.balance.note_held(shard_);
     wanted_epoch_ = next_epoch;
     sent_at_ = now;
     store_commit commit;
@@ -159,6 +166,8 @@
     if (result.status != store_status::ok)
     {
         // A lost reply leaves the row version unknown; it is read again.
+        if (!is_owner(now))
+            context_.balance.note_given_up(shard_);
         next_action_ = now + config::heartbeat_period;
         if (result.status == store_status::conflict ||
             result.status == store_status::unknown)
@@ -169,6 +178,7 @@
     row_version_ = result.versions.empty() ? 0 : result.versions.front();
     epoch_ = wanted_epoch_;
     owner_ = context_.identity.host;
+    context_.balance.note_held(shard_);
     const auto until = sent_at_ + config::ownership_lease -
                        drift_margin(config::ownership_lease);
     acts_until_ = renewed ? std::max(*acts_until_, until) : until;
@@ -197,6 +207,14 @@
         context_.out.emplace_back(std::move(commit));
     }
     acts_until_.reset();
+    context_.balance.note_given_up(shard_);
+}
+
+void ownership::resume(time_point now)
+{
+    release_wanted_ = false;
+    released_ = false;
+    next_action_ = now + config::ownership_renew_period;
 }
 
 void ownership::step_down(time_point now)
@@ -204,6 +222,7 @@
     if (!acts_until_)
         return;
     acts_until_.reset();
+    context_.balance.note_given_up(shard_);
     next_action_ = now;
     context_.log(log_code::shard_lost,
                  fmt::format("{} epoch {} stepped down", shard_, epoch_));
--- a/src/ownership_p.hpp
+++ b/src/ownership_p.hpp
@@ -62,6 +62,9 @@
     {
         return !release_wanted_ || (released_ && !release_op_);
     }
+    /// After a release that is complete: takes part again, so that the shard
+    /// is taken back when no other host takes it.
+    void resume(time_point now);
     /// Stops acting as owner at once, because another host has a higher
     /// epoch or the table contradicts this owner. The row is read again.
     void step_down(time_point now);
@@ -84,6 +87,7 @@
     /// renewed for its length after that is over, without comparing clocks.
     std::uint64_t watched_version_ = 0;
     time_point watched_since_;
+    std::optional<time_point> absent_since_; ///< No row was there.
     std::optional<time_point> acts_until_;
     std::optional<op_id> op_;
     bool writing_ = false;
--- a/src/shard_calls.cpp
+++ b/src/shard_calls.cpp
@@ -107,7 +107,7 @@
     std::string best;
     for (const auto& each : candidates)
     {
-        const auto shard = shard_in(now, each, spec);
+        auto shard = shard_in(now, each, spec);
         if (shard.empty())
             continue;
         if (!config_.current().is_data_centre_out(each))
--- a/src/shard_scheduler.cpp
+++ b/src/shard_scheduler.cpp
@@ -136,7 +136,8 @@
 
 bool shard_scheduler::may_start(time_point now) const
 {
-    return !stopping_ && !is_out() && config_.check_usable(now).has_value();
+    return !stopping_ && !handing_over_ && !is_out() &&
+           config_.check_usable(now).has_value();
 }
 
 void shard_scheduler::forget()
@@ -863,13 +864,26 @@
     finish_stop(now);
 }
 
+void shard_scheduler::hand_over(time_point now)
+{
+    handing_over_ = true;
+    flush_until_ = now + stop_flush_bound;
+    finish_stop(now);
+}
+
 void shard_scheduler::finish_stop(time_point now)
 {
-    if (!stopping_)
+    if (!stopping_ && !handing_over_)
         return;
     const bool flushed = !journal_.is_busy() && dirty_.empty();
     if (flushed || now >= flush_until_ || !ownership_.is_owner(now))
         ownership_.release(now);
+    if (handing_over_ && !stopping_ && !ownership_.is_owner(now) &&
+        ownership_.is_released())
+    {
+        handing_over_ = false;
+        ownership_.resume(now);
+    }
 }
 
 } // namespace carobcourse
--- a/src/shard_scheduler_p.hpp
+++ b/src/shard_scheduler_p.hpp
@@ -53,6 +53,23 @@
         next_inbox_ = time_point{};
     }
 
+    /// Tasks and jobs may be handed over: this host runs the shard and every
+    /// worker of it has answered.
+    bool can_hand_over() const
+    {
+        return active_ && !recovering_ && !handing_over_ && !stopping_;
+    }
+    std::size_t job_count() const
+    {
+        return jobs_.size();
+    }
+    /// Gives the shard up as at a planned stop, for another host to take.
+    void hand_over(time_point now);
+    bool is_owner(time_point now) const
+    {
+        return ownership_.is_owner(now);
+    }
+
     /// Gives the shard up; no task is started after it.
     void stop(time_point now);
     /// True when the shard is given up.
@@ -143,6 +160,7 @@
     bool active_ = false; ///< Owner, and jobs loaded.
     bool loading_ = false;
     bool stopping_ = false;
+    bool handing_over_ = false;
     std::uint64_t active_epoch_ = 0;
     std::map<std::string, job_record> jobs_;
     dispatcher waiting_;
--- a/src/shard_set.cpp
+++ b/src/shard_set.cpp
@@ -20,8 +20,34 @@
     agreement_.on_tick(now);
     if (agreement_.current() != shard_agreement::state::agreed)
         return;
+    balance(now);
+    std::size_t owned = 0;
     for (const auto& shard : shards_)
+    {
         shard->on_tick(now);
+        owned += shard->is_owner(now) ? 1 : 0;
+    }
+    context_.counters.gauge("carobcourse_shards_owned",
+                            static_cast<double>(owned));
+}
+
+void shard_set::balance(time_point now)
+{
+    context_.balance.on_tick(now,
+                             !stopping_ && context_.grants.is_registered());
+    if (stopping_ || !context_.balance.has_surplus())
+        return;
+    shard_scheduler* least = nullptr;
+    for (const auto& shard : shards_)
+    {
+        if (shard->can_hand_over() &&
+            (!least || shard->job_count() < least->job_count()))
+            least = shard.get();
+    }
+    if (!least)
+        return;
+    context_.balance.note_handed_over(now);
+    least->hand_over(now);
 }
 
 void shard_set::on_hosts(time_point now, const std::vector<host_entry>& hosts)
@@ -76,6 +102,7 @@
 
 void shard_set::stop(time_point now)
 {
+    stopping_ = true;
     for (const auto& shard : shards_)
         shard->stop(now);
 }
--- a/src/shard_set_p.hpp
+++ b/src/shard_set_p.hpp
@@ -82,8 +82,12 @@
                          const job_spec& spec);
     void poll_soon(const std::string& shard);
 
+    /// Hands one shard over when this host has more than its fair part.
+    void balance(time_point now);
+
     core_context& context_;
     const config_service& config_;
+    bool stopping_ = false;
     shard_agreement agreement_;
     shard_map map_;
     std::vector<std::unique_ptr<shard_scheduler>> shards_;
--- a/tests/test_recovery_shards.cpp
+++ b/tests/test_recovery_shards.cpp
@@ -173,3 +173,76 @@
     }
     CHECK(it.cell.overlapping_tasks().empty());
 }
+
+TEST_CASE("hosts share the shards and a survivor takes all of them")
+{
+    // Guards against one host that owns all workers, against a shard that no
+    // host takes, and against tasks that a takeover or a handover ends.
+    sharded_cell it(621);
+    const auto shared = [&]
+    {
+        const auto owners = it.owners();
+        return owners.count("north-1") == 1 && owners.count("north-2") == 1 &&
+               owners.size() == 2;
+    };
+    CHECK(shared());
+    for (int i = 0; i < 6; ++i)
+        it.submit("north-1", job_body(fmt::format("j{}", i), 1, 150000));
+    it.cell.run_for(5s);
+    it.cell.kill("north-1");
+    CHECK(it.cell.run_until(25s,
+                            [&]
+                            {
+                                return it.owners() ==
+                                       std::map<std::string, int>{
+                                           {"north-2", int(shard_count)}};
+                            }));
+    it.submit("north-2", job_body("k1", 1, 500));
+    it.cell.run_for(15s);
+    CHECK(it.is_succeeded("north-2", "k1"));
+    it.cell.add_entry_host("north-1", "north");
+    CHECK(it.cell.run_until(60s, shared));
+    it.cell.run_for(150s);
+    for (int i = 0; i < 6; ++i)
+    {
+        const auto job = fmt::format("j{}", i);
+        CHECK(it.cell.count_starts(job) == 1);
+        CHECK(it.is_succeeded("north-1", job));
+    }
+    CHECK(it.cell.overlapping_tasks().empty());
+}
+
+TEST_CASE("a planned stop hands every shard over")
+{
+    // Guards against a stop that waits for one shard only.
+    sharded_cell it(631);
+    it.cell.request_stop("north-2");
+    CHECK(
+        it.cell.run_until(10s, [&] { return it.cell.is_stopped("north-2"); }));
+    CHECK(it.cell.run_until(15s,
+                            [&]
+                            {
+                                return it.owners() ==
+                                       std::map<std::string, int>{
+                                           {"north-1", int(shard_count)}};
+                            }));
+}
+
+TEST_CASE("the shards of a data centre taken out hand their jobs over")
+{
+    // Guards against jobs that stay in one of the shards (I5).
+    sharded_cell it(641);
+    it.cell.add_worker("s1", "south", "r1", {16000, 32000, 0});
+    it.cell.add_entry_host("south-1", "south");
+    it.cell.run_for(20s);
+    for (int i = 0; i < 6; ++i)
+        it.submit("north-1", job_body(fmt::format("j{}", i), 1, 20000));
+    it.cell.run_for(5s);
+    const auto out = it.cell.call("north-1", "PUT", "/v1/datacentres/north",
+                                  operator_key, json{{"state", "out"}}.dump());
+    REQUIRE(out.http_status == 200);
+    it.cell.run_for(60s);
+    for (int i = 0; i < 6; ++i)
+        CHECK(it.is_succeeded("south-1", fmt::format("j{}", i)));
+    CHECK(it.cell.overlapping_tasks().empty());
+}
