Run random schedules with three shards per data centre

Cause: the invariants were checked with one shard per data centre only.

Ruled out: turning seeds 1 to 24 to several shards, which would lose their schedules with one.

Change: seeds 25 to 32 run with three shards per data centre and a rack for each worker. After each run every shard must have one live owner.

--- a/tests/test_random_schedules.cpp
+++ b/tests/test_random_schedules.cpp
@@ -12,7 +12,10 @@
 {
 
 constexpr std::uint64_t first_seed = 1;
-constexpr std::uint64_t seed_count = 24;
+constexpr std::uint64_t seed_count = 32;
+/// Seeds from here on run with several shards per data centre.
+constexpr std::uint64_t first_sharded_seed = 25;
+constexpr std::uint32_t sharded_count = 3;
 constexpr int steps_per_seed = 400;
 /// "Within seconds" and "a few seconds" of the requirements.
 constexpr std::int64_t bound_ms = 5000;
@@ -32,6 +35,8 @@
 public:
     explicit schedule(std::uint64_t seed) : cell_(seed), random_(seed * 77 + 1)
     {
+        const bool sharded = seed >= first_sharded_seed;
+        cell_.shards_per_data_centre = sharded ? sharded_count : 1;
         for (const auto* data_centre : {"north", "south"})
         {
             for (int i = 1; i <= 2; ++i)
@@ -40,7 +45,8 @@
             {
                 const auto id = fmt::format("{}-w{}", data_centre, i);
                 workers_.push_back(id);
-                cell_.add_worker(id, data_centre, fmt::format("r{}", i / 2),
+                cell_.add_worker(id, data_centre,
+                                 fmt::format("r{}", sharded ? i : i / 2),
                                  worker_size);
             }
             for (int i = 0; i < 2; ++i)
@@ -70,6 +76,7 @@
         cell_.run_for(90s);
         check_versions();
         check_all();
+        check_owners();
     }
 
     std::map<std::string, int> faults; ///< Injected, by kind.
@@ -387,6 +394,21 @@
             visit(item, item["what"] == "start" ? 1 : -1);
     }
 
+    /// After the faults are over every shard has one live owner again.
+    void check_owners()
+    {
+        const std::string gauge = "\ncarobcourse_shards_owned ";
+        std::uint64_t owned = 0;
+        for (const auto& host : hosts_)
+        {
+            const auto text = cell_.core(host).counters().render();
+            const auto found = text.find(gauge);
+            REQUIRE(found != std::string::npos);
+            owned += std::stoull(text.substr(found + gauge.size()));
+        }
+        CHECK(owned == 2 * cell_.shards_per_data_centre);
+    }
+
     void check_capacity()
     {
         std::map<std::string, std::int64_t> used;
