Leave the other hosts their part when the first host starts

Cause: the delay for shards beyond the fair part counted from the first read of the rows, 3 s before a host knows its peers. With 4 shards and 3 hosts that start one after the other, one host had 3 shards and one had none half a minute later.

Ruled out: a longer delay; it has to end before the leases of the workers.

Change: the delay counts from when the host knows its peers, at the earliest.

Before and after: "a host that starts first leaves the others their part at first" fails without the change.

Conclusion: no host starts with more than its part, rounded up.

--- a/src/shard_balance.cpp
+++ b/src/shard_balance.cpp
@@ -67,8 +67,14 @@
 
 bool shard_balance::may_take(time_point now, time_point since) const
 {
-    return count_ == 1 || held_.size() < fair_part(now) ||
-           now >= since + extra_take_delay;
+    if (count_ == 1 || held_.size() < fair_part(now))
+        return true;
+    // Counted from when the peers are known, so that the first host of a
+    // data centre does not take every shard while it settles.
+    auto from = since;
+    if (takes_part_since_)
+        from = std::max(from, *takes_part_since_ + settling_period);
+    return now >= from + extra_take_delay;
 }
 
 void shard_balance::note_handed_over(time_point now)
--- a/tests/test_recovery_shards.cpp
+++ b/tests/test_recovery_shards.cpp
@@ -100,6 +100,7 @@
     // that leaves a shard without racks.
     shard_map map(4);
     std::vector<host_entry> hosts;
+    hosts.reserve(241);
     for (int i = 0; i < 240; ++i)
         hosts.push_back(
             worker_in(fmt::format("w{}", i), fmt::format("r{}", i / 6)));
@@ -246,3 +247,20 @@
         CHECK(it.is_succeeded("south-1", fmt::format("j{}", i)));
     CHECK(it.cell.overlapping_tasks().empty());
 }
+
+TEST_CASE("a host that starts first leaves the others their part at first")
+{
+    // Guards against a first host that takes every shard because its polls
+    // reach the delay for further shards as soon as it knows its peers.
+    const time_point start(1h);
+    shard_balance balance(4);
+    balance.on_tick(start, true);
+    CHECK_FALSE(balance.may_take(start, start));
+    balance.on_peer(start + 2s, "north-2", 0);
+    balance.on_tick(start + 6s, true);
+    CHECK(balance.may_take(start + 6s, start));
+    balance.note_held("north.0");
+    balance.note_held("north.1");
+    CHECK_FALSE(balance.may_take(start + 6s, start));
+    CHECK(balance.may_take(start + 9s, start));
+}
