Measure the cost of an entry host with several shards

Cause: the cost of an owner at the target size was an extrapolation from 50 workers in one shard.

Ruled out: filling the cell through one host; its jobs go to its own shards first and the others stay empty.

--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -228,15 +228,18 @@
             {"resident_mb", after.resident_mb}};
 }
 
-/// Fills the cell with service tasks that run on.
-json run_fill(const std::string& url, const std::string& key, int tasks)
+/// Fills the cell with service tasks that run on, through the entry hosts in
+/// turn, as each prefers its own shards.
+json run_fill(const std::vector<std::string>& urls, const std::string& key,
+              int tasks)
 {
     constexpr int tasks_per_job = 100;
     int accepted = 0;
+    std::size_t next = 0;
     for (int left = tasks; left > 0; left -= tasks_per_job)
     {
         const auto answer =
-            call(url, "POST", "/v1/jobs", key,
+            call(urls[next++ % urls.size()], "POST", "/v1/jobs", key,
                  json{{"kind", "service"},
                       {"tasks", std::min(left, tasks_per_job)},
                       {"resources", {{"cpu_millis", 10}, {"memory_mb", 1}}}}
@@ -341,14 +344,14 @@
                       << "\n";
         });
 
+    std::vector<std::string> urls;
     auto* fill = app.add_subcommand("fill", "Submit service tasks that run on");
-    fill->add_option("--url", url)->required();
+    fill->add_option("--url", urls, "Every entry host, once each")->required();
     fill->add_option("--key", key)->required();
     fill->add_option("--count", count, "Tasks");
     fill->callback(
-        [&] { std::cout << load::run_fill(url, key, count).dump(2) << "\n"; });
+        [&] { std::cout << load::run_fill(urls, key, count).dump(2) << "\n"; });
 
-    std::vector<std::string> urls;
     auto* spread = app.add_subcommand(
         "spread", "Time until a configuration change is in force everywhere");
     spread->add_option("--url", urls, "Every entry host, once each")
