--- a/tests/test_random_schedules.cpp
+++ b/tests/test_random_schedules.cpp
@@ -406,7 +406,7 @@
             REQUIRE(found != std::string::npos);
             owned += std::stoull(text.substr(found + gauge.size()));
         }
-        CHECK(owned == 2 * cell_.shards_per_data_centre);
+        CHECK(owned == std::uint64_t{2} * cell_.shards_per_data_centre);
     }
 
     void check_capacity()
