--- a/src/core_context_p.hpp
+++ b/src/core_context_p.hpp
@@ -15,6 +15,7 @@
 #include "keyring_p.hpp"
 #include "metrics_p.hpp"
 #include "peer_grants_p.hpp"
+#include "shard_balance_p.hpp"
 
 namespace carobcourse
 {
@@ -30,6 +31,7 @@
     duration drain_deadline = std::chrono::seconds(30);
     /// Up to so many entry hosts each asks all others for grants.
     std::size_t full_mesh_hosts = config::full_mesh_hosts;
+    std::uint32_t shards_per_data_centre = 1;
 };
 
 /// Shared by the parts of one entry host. Used by the core thread only.
@@ -38,7 +40,8 @@
 public:
     core_context(host_identity identity, std::uint64_t seed,
                  entropy_source& entropy)
-        : identity(std::move(identity)), random(seed), entropy(entropy)
+        : identity(std::move(identity)), random(seed), entropy(entropy),
+          balance(this->identity.shards_per_data_centre)
     {
     }
 
@@ -51,6 +54,7 @@
     /// known. Each commit of a change requires it, so that a host whose row
     /// was removed writes nothing.
     std::optional<row> member_row;
+    shard_balance balance;
     effects out;
 
     op_id next_op(component owner)
@@ -58,6 +62,12 @@
         return {owner, ++sequence_};
     }
 
+    /// Number of a sync, unique over the shards of this host.
+    std::uint64_t next_sync()
+    {
+        return ++syncs_;
+    }
+
     void log(log_code code, std::string detail)
     {
         out.emplace_back(log_record{code, without_secrets(std::move(detail))});
@@ -75,6 +85,7 @@
 
 private:
     std::uint64_t sequence_ = 0;
+    std::uint64_t syncs_ = 0;
 };
 
 /// JSON body of an error answer.
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -438,11 +438,14 @@
 
 json membership::heartbeat_body(std::uint64_t sequence) const
 {
-    return {{"incarnation", context_.identity.incarnation},
-            {"data_centre", context_.identity.data_centre},
-            {"peer_address", context_.identity.peer_address},
-            {"seq", sequence},
-            {"version", config_.current().version()}};
+    json body{{"incarnation", context_.identity.incarnation},
+              {"data_centre", context_.identity.data_centre},
+              {"peer_address", context_.identity.peer_address},
+              {"seq", sequence},
+              {"version", config_.current().version()}};
+    if (const auto shards = context_.balance.stated())
+        body["shards"] = *shards;
+    return body;
 }
 
 /// Above the limit of the full mesh only the own data centre and hosts that
@@ -731,6 +734,9 @@
             reply["relayed"] = std::move(relayed);
     }
     send(host, "heartbeat_ack", reply);
+    if (body.contains("shards") &&
+        text_of(body, "data_centre") == context_.identity.data_centre)
+        context_.balance.on_peer(now, host, number_of(body, "shards"));
     on_peer_version(now, host, number_of(body, "version"));
 }
 
