--- a/tests/core_harness.hpp
+++ b/tests/core_harness.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <deque>
 #include <fmt/format.h>
 #include <functional>
@@ -42,6 +43,37 @@
     std::mt19937_64 engine_;
 };
 
+/// Body of a commit as the table service takes it.
+inline json commit_body(const store_commit& commit)
+{
+    json ops = json::array();
+    for (const auto& write : commit.writes)
+    {
+        json op{{"table", write.table}, {"key", write.key}};
+        if (write.expect)
+            op["expect"] = *write.expect;
+        op["value"] = write.value ? json(*write.value) : json();
+        ops.push_back(op);
+    }
+    return json{{"ops", ops}};
+}
+
+/// What the answer of the table service says of a commit.
+inline store_result commit_result(const op_id& op,
+                                  const standin::response& answer)
+{
+    store_result result;
+    result.op = op;
+    result.status =
+        answer.status == 200 ? store_status::ok : store_status::conflict;
+    if (answer.status == 200)
+        result.versions =
+            answer.body["versions"].get<std::vector<std::uint64_t>>();
+    else
+        result.conflict_index = answer.body["conflict"];
+    return result;
+}
+
 /// How the table service behaves at present.
 struct store_fault
 {
@@ -123,6 +155,16 @@
         schedule_tick(id, host.generation);
     }
 
+    /// Sets how fast the clock of an entry host or worker runs, 1 being the
+    /// rate of the virtual clock. Takes effect from now on without a jump.
+    void set_clock_rate(const std::string& id, double rate)
+    {
+        auto& clock = clocks_[id];
+        clock.offset = to_local(id, now_);
+        clock.since = now_;
+        clock.rate = rate;
+    }
+
     void add_worker(const std::string& id, const std::string& data_centre,
                     const std::string& rack, const resources& capacity)
     {
@@ -229,7 +271,7 @@
         }
         now_ = end;
         for (auto& [id, each] : workers_)
-            each.advance(to_worker_time(now_));
+            each.advance(to_worker_time(id, now_));
     }
 
     /// Runs in small steps until `check` is true; false after `most`.
@@ -326,6 +368,7 @@
     std::uint64_t store_writes = 0;
     std::uint64_t store_reads = 0;
     std::uint64_t peer_bytes = 0;
+    std::uint64_t worker_syncs = 0; ///< That reached a worker.
 
     entry_host& core(const std::string& id)
     {
@@ -359,9 +402,17 @@
         std::vector<json> all;
         for (auto& [id, each] : workers_)
         {
-            each.advance(to_worker_time(now_));
-            for (const auto& item : each.record())
-                all.push_back(item);
+            each.advance(to_worker_time(id, now_));
+            for (auto item : each.record())
+            {
+                const time_point local(
+                    std::chrono::milliseconds(item["at_ms"].get<long>()));
+                item["at_ms"] =
+                    std::chrono::duration_cast<std::chrono::milliseconds>(
+                        from_local(id, local).time_since_epoch())
+                        .count();
+                all.push_back(std::move(item));
+            }
         }
         std::stable_sort(all.begin(), all.end(),
                          [](const json& a, const json& b)
@@ -440,11 +491,44 @@
         std::uint32_t busy = 0;
     };
 
-    static standin::steady::time_point to_worker_time(time_point t)
+    /// A clock that was at `offset` at `since` and runs at `rate` after it.
+    struct node_clock
+    {
+        time_point since;
+        time_point offset;
+        double rate = 1;
+    };
+
+    static duration scale(duration length, double by)
+    {
+        return duration(static_cast<duration::rep>(
+            std::llround(static_cast<double>(length.count()) * by)));
+    }
+
+    time_point to_local(const std::string& id, time_point t) const
+    {
+        const auto found = clocks_.find(id);
+        if (found == clocks_.end())
+            return t;
+        const auto& clock = found->second;
+        return clock.offset + scale(t - clock.since, clock.rate);
+    }
+
+    time_point from_local(const std::string& id, time_point t) const
+    {
+        const auto found = clocks_.find(id);
+        if (found == clocks_.end() || t < found->second.offset)
+            return t; // Before the rate was set.
+        const auto& clock = found->second;
+        return clock.since + scale(t - clock.offset, 1 / clock.rate);
+    }
+
+    standin::steady::time_point to_worker_time(const std::string& id,
+                                               time_point t) const
     {
         return standin::steady::time_point(
             std::chrono::duration_cast<standin::steady::duration>(
-                t.time_since_epoch()));
+                to_local(id, t).time_since_epoch()));
     }
 
     void list_host(const std::string& id, host_kind kind,
@@ -499,7 +583,7 @@
             host.held.push_back(std::move(what));
             return;
         }
-        for (const auto& each : host.core->handle(now_, what))
+        for (const auto& each : host.core->handle(to_local(id, now_), what))
             std::visit([&](const auto& e) { carry_out(id, e); }, each);
     }
 
@@ -597,33 +681,14 @@
 
     void carry_out(const std::string& id, const store_commit& operation)
     {
-        json ops = json::array();
-        for (const auto& write : operation.writes)
-        {
-            json op{{"table", write.table}, {"key", write.key}};
-            if (write.expect)
-                op["expect"] = *write.expect;
-            op["value"] = write.value ? json(*write.value) : json();
-            ops.push_back(op);
-        }
-        store_operation(
-            id, operation, true,
-            [this, ops, op = operation.op]
-            {
-                const auto answer = table_.commit(json{{"ops", ops}});
-                if (answer.status == 200)
-                    note_changes(ops);
-                store_result result;
-                result.op = op;
-                result.status = answer.status == 200 ? store_status::ok
-                                                     : store_status::conflict;
-                if (answer.status == 200)
-                    result.versions = answer.body["versions"]
-                                          .get<std::vector<std::uint64_t>>();
-                else
-                    result.conflict_index = answer.body["conflict"];
-                return result;
-            });
+        store_operation(id, operation, true,
+                        [this, body = commit_body(operation), op = operation.op]
+                        {
+                            const auto answer = table_.commit(body);
+                            if (answer.status == 200)
+                                note_changes(body["ops"]);
+                            return commit_result(op, answer);
+                        });
     }
 
     void carry_out(const std::string& id, const store_read& operation)
@@ -680,7 +745,9 @@
         const auto apply = [this, message]
         {
             auto answer =
-                workers_.at(message.worker).sync(to_worker_time(now_), message);
+                workers_.at(message.worker)
+                    .sync(to_worker_time(message.worker, now_), message);
+            ++worker_syncs;
             return sync_reply_from_json(answer.body);
         };
         if (fault.deliver_late > 0)
@@ -774,7 +841,8 @@
                       if (lost)
                       {
                           result.status = send_status::unknown;
-                          delay = std::max(delay, request.deadline - now_);
+                          delay = std::max(
+                              delay, from_local(id, request.deadline) - now_);
                       }
                       at(now_ + delay, [this, id, generation, result]
                          { deliver(id, generation, result); });
@@ -850,6 +918,7 @@
     call_id last_call_ = 0;
     std::priority_queue<scheduled> queue_;
     std::map<std::string, host> hosts_;
+    std::map<std::string, node_clock> clocks_;
     std::map<std::string, host_entry> listed_;
     std::map<std::string, standin::worker> workers_;
     std::map<std::string, fake_executor> executors_;
--- /dev/null
+++ b/tests/recovery_cell.hpp
@@ -0,0 +1,90 @@
+/// A data centre with two entry hosts and two workers, for tests of recovery.
+#pragma once
+
+#include <string>
+
+#include "core_harness.hpp"
+#include "job_p.hpp"
+
+namespace carobcourse::test
+{
+
+inline std::string job_body(const std::string& id, int tasks, int run_ms,
+                            std::int64_t cpu_millis = 1000)
+{
+    return json{{"id", id},
+                {"tasks", tasks},
+                {"run_ms", run_ms},
+                {"resources", {{"cpu_millis", cpu_millis}, {"memory_mb", 100}}}}
+        .dump();
+}
+
+struct recovery_cell
+{
+    explicit recovery_cell(std::uint64_t seed,
+                           const resources& worker_size = {4000, 8000, 0},
+                           const resources& limit = {1000000, 4000000, 1000})
+        : cell(seed)
+    {
+        cell.add_entry_host("north-1", "north");
+        cell.add_entry_host("north-2", "north");
+        cell.add_worker("w1", "north", "r1", worker_size);
+        cell.add_worker("w2", "north", "r2", worker_size);
+        cell.run_for(std::chrono::seconds(3));
+        key = cell.add_team("north-1", "climb-desk", {}, limit);
+    }
+
+    std::string owner()
+    {
+        const auto answer = cell.table().read("shard", "north.0");
+        return json::parse(answer.body["row"]["value"].get<std::string>())
+            .value("owner", "");
+    }
+    static std::string other_than(const std::string& host)
+    {
+        return host == "north-1" ? "north-2" : "north-1";
+    }
+    /// Kills the owner and runs until the other host owns the shard.
+    std::string take_over()
+    {
+        const auto dead = owner();
+        const auto next = other_than(dead);
+        cell.kill(dead);
+        REQUIRE(cell.run_until(std::chrono::seconds(20),
+                               [&] { return owner() == next; }));
+        return next;
+    }
+    void submit(const std::string& host, const std::string& body)
+    {
+        REQUIRE(cell.call(host, "POST", "/v1/jobs", key, body).http_status ==
+                202);
+    }
+    std::string state_in_table(const std::string& job)
+    {
+        const auto row = cell.table().read("jobs", "north.0/" + job);
+        if (row.status != 200)
+            return "absent";
+        return job_record_from_json(row.body["row"]["value"].get<std::string>())
+            ->state();
+    }
+    bool wait_for_starts(const std::string& job, std::size_t count,
+                         duration most)
+    {
+        return cell.run_until(most,
+                              [&] { return cell.count_starts(job) >= count; });
+    }
+    std::string worker_of(const std::string& job)
+    {
+        for (const auto& item : cell.task_record())
+        {
+            if (item["what"] == "start" && item["attempt"]["job"] == job)
+                return item["worker"];
+        }
+        return {};
+    }
+
+    fake_cell cell;
+    std::string key;
+};
+
+} // namespace carobcourse::test
--- a/tests/test_allotment.cpp
+++ b/tests/test_allotment.cpp
@@ -269,22 +269,13 @@
     void commit_soon(const std::string& name, const shard& each,
                      const store_commit& commit)
     {
-        json ops = json::array();
-        for (const auto& write : commit.writes)
-        {
-            json op{{"table", write.table}, {"key", write.key}};
-            if (write.expect)
-                op["expect"] = *write.expect;
-            op["value"] = write.value ? json(*write.value) : json();
-            ops.push_back(op);
-        }
         const auto op = commit.op;
         if (is_cut(each))
         {
             reply(name, now + 2s, unknown_result(op));
             return;
         }
-        const json body{{"ops", ops}};
+        const auto body = commit_body(commit);
         if (std::exchange(delay_next_commit, false))
         {
             at(now + 5s, [this, body] { table.commit(body); });
@@ -307,7 +298,7 @@
                ++commits;
                ++operations;
                const auto answered = table.commit(body);
-               auto result = to_result(op, answered);
+               const auto result = commit_result(op, answered);
                if (lost)
                    reply(name, now + 2s, unknown_result(op));
                else
@@ -315,18 +306,12 @@
            });
     }
 
-    static store_result to_result(const op_id& op,
-                                  const standin::response& answered)
+    static store_result read_result(const op_id& op,
+                                    const standin::response& answered)
     {
         store_result result;
         result.op = op;
-        result.status =
-            answered.status == 409 ? store_status::conflict : store_status::ok;
-        if (answered.status == 409)
-            result.conflict_index = answered.body["conflict"];
-        if (answered.body.contains("versions"))
-            result.versions =
-                answered.body["versions"].get<std::vector<std::uint64_t>>();
+        result.status = store_status::ok;
         const auto add = [&](const json& item) {
             result.rows.push_back(
                 {item["key"], item["version"], item["value"]});
@@ -347,7 +332,7 @@
             reply(name, now + 2s, unknown_result(op));
         else
             reply(name, now + 1ms + random_() % 20 * 1ms,
-                  to_result(op, answered));
+                  read_result(op, answered));
     }
 
     void reply(const std::string& name, time_point when,
--- a/tests/test_config_changes.cpp
+++ b/tests/test_config_changes.cpp
@@ -94,24 +94,10 @@
     /// Executes a commit; the reply may be lost.
     bool execute(const store_commit& commit, bool lose_reply)
     {
-        json ops = json::array();
-        for (const auto& write : commit.writes)
-        {
-            json op{{"table", write.table}, {"key", write.key}};
-            if (write.expect)
-                op["expect"] = *write.expect;
-            op["value"] = write.value ? json(*write.value) : json();
-            ops.push_back(op);
-        }
-        const auto done = table.commit({{"ops", ops}});
-        store_result result;
-        result.op = commit.op;
-        if (!lose_reply)
-            result.status =
-                done.status == 200 ? store_status::ok : store_status::conflict;
-        if (done.status == 200)
-            result.versions =
-                done.body["versions"].get<std::vector<std::uint64_t>>();
+        const auto done = table.commit(commit_body(commit));
+        auto result = commit_result(commit.op, done);
+        if (lose_reply)
+            result.status = store_status::unknown;
         take(core.handle(now, result));
         return done.status == 200;
     }
--- a/tests/test_recovery_durability.cpp
+++ b/tests/test_recovery_durability.cpp
@@ -1,6 +1,5 @@
 // Durability of jobs: what an owner writes, and what it acknowledges.
-#include "core_harness.hpp"
-#include "job_p.hpp"
+#include "recovery_cell.hpp"
 
 using namespace carobcourse;
 using namespace carobcourse::test;
@@ -9,65 +8,7 @@
 namespace
 {
 
-std::string job_body(const std::string& id, int tasks, int run_ms)
-{
-    return json{{"id", id},
-                {"tasks", tasks},
-                {"run_ms", run_ms},
-                {"resources", {{"cpu_millis", 1000}, {"memory_mb", 100}}}}
-        .dump();
-}
-
-/// Two entry hosts of one data centre and two workers.
-struct two_hosts
-{
-    explicit two_hosts(std::uint64_t seed) : cell(seed)
-    {
-        cell.add_entry_host("north-1", "north");
-        cell.add_entry_host("north-2", "north");
-        cell.add_worker("w1", "north", "r1", {2000, 8000, 0});
-        cell.add_worker("w2", "north", "r2", {2000, 8000, 0});
-        cell.run_for(3s);
-        key = cell.add_team("north-1", "climb-desk");
-    }
-
-    std::string owner()
-    {
-        const auto answer = cell.table().read("shard", "north.0");
-        return json::parse(answer.body["row"]["value"].get<std::string>())
-            .value("owner", "");
-    }
-    std::string other() const
-    {
-        return dead == "north-1" ? "north-2" : "north-1";
-    }
-    void kill_owner()
-    {
-        dead = owner();
-        cell.kill(dead);
-    }
-    void submit(const std::string& host, const std::string& body)
-    {
-        REQUIRE(cell.call(host, "POST", "/v1/jobs", key, body).http_status ==
-                202);
-    }
-    std::string state_in_table(const std::string& job)
-    {
-        const auto row = cell.table().read("jobs", "north.0/" + job);
-        if (row.status != 200)
-            return "absent";
-        return job_record_from_json(row.body["row"]["value"].get<std::string>())
-            ->state();
-    }
-    bool has_started(const std::string& job)
-    {
-        return cell.run_until(5s, [&] { return cell.count_starts(job) > 0; });
-    }
-
-    fake_cell cell;
-    std::string key;
-    std::string dead;
-};
+const resources two_cores{2000, 8000, 0};
 
 } // namespace
 
@@ -75,19 +16,20 @@
 {
     // Guards against a task that runs twice because a delayed commit of a
     // dead owner turned its row back from "succeeded" to "running".
-    two_hosts it(21);
+    recovery_cell it(21, two_cores);
     it.submit("north-1", job_body("j1", 1, 8000));
-    REQUIRE(it.has_started("j1"));
+    REQUIRE(it.wait_for_starts("j1", 1, 5s));
     it.cell.store.extra_delay = 25s;
     it.cell.run_for(300ms);
     it.cell.store.extra_delay = 0s;
-    it.kill_owner();
+    const auto dead = it.owner();
+    it.cell.kill(dead);
     it.cell.run_for(24s);
     CHECK(it.state_in_table("j1") == "succeeded");
     it.cell.run_for(4s); // The delayed commit arrives.
     CHECK(it.state_in_table("j1") == "succeeded");
-    it.cell.kill(it.other());
-    it.cell.add_entry_host(it.dead, "north");
+    it.cell.kill(it.other_than(dead));
+    it.cell.add_entry_host(dead, "north");
     it.cell.run_for(40s);
     CHECK(it.cell.count_starts("j1") == 1);
 }
@@ -98,9 +40,9 @@
     // the cancellation: the owner dies as soon as the row is gone.
     for (std::uint64_t seed = 31; seed < 36; ++seed)
     {
-        two_hosts it(seed);
+        recovery_cell it(seed, two_cores);
         it.submit("north-1", job_body("j1", 1, 60000));
-        REQUIRE(it.has_started("j1"));
+        REQUIRE(it.wait_for_starts("j1", 1, 5s));
         it.cell.run_for(2s);
         REQUIRE(it.cell.call("north-1", "POST", "/v1/jobs/j1/cancel", it.key)
                     .http_status == 202);
@@ -112,7 +54,8 @@
                                                        "north.0/j1!cancel")
                                                  .status != 200;
                                   }));
-        it.kill_owner();
+        const auto dead = it.owner();
+        it.cell.kill(dead);
         INFO("seed " << seed);
         CHECK(it.cell.run_until(
             20s, [&] { return it.state_in_table("j1") == "cancelled"; }));
@@ -123,13 +66,14 @@
 {
     // Guards against a task that succeeded and runs again after a takeover:
     // the table was down when the result came and the owner died with it.
-    two_hosts it(41);
+    recovery_cell it(41, two_cores);
     it.submit("north-1", job_body("j1", 1, 2000));
-    REQUIRE(it.has_started("j1"));
+    REQUIRE(it.wait_for_starts("j1", 1, 5s));
     it.cell.run_for(1s);
     it.cell.store.down = true;
     it.cell.run_for(6s);
-    it.kill_owner();
+    const auto dead = it.owner();
+    it.cell.kill(dead);
     it.cell.store.down = false;
     it.cell.run_for(50s);
     CHECK(it.state_in_table("j1") == "succeeded");
@@ -142,7 +86,7 @@
     // against one that is sent again with an outdated fence.
     for (std::uint64_t seed = 51; seed < 54; ++seed)
     {
-        two_hosts it(seed);
+        recovery_cell it(seed, two_cores);
         it.cell.store.lose_probability = 0.3;
         int accepted = 0;
         for (int i = 0; i < 10; ++i)
@@ -172,7 +116,7 @@
 TEST_CASE("a burst of cancellations takes few writes")
 {
     // Guards against a commit for each cancelled task.
-    two_hosts it(61);
+    recovery_cell it(61, two_cores);
     for (int i = 0; i < 100; ++i)
         it.submit("north-1", job_body("j" + std::to_string(i), 1, 60000));
     it.cell.run_for(3s);
--- a/tests/test_recovery_takeover.cpp
+++ b/tests/test_recovery_takeover.cpp
@@ -1,89 +1,16 @@
 // Takeover of a shard: what may start, when, and what is stopped.
-#include "core_harness.hpp"
-#include "job_p.hpp"
+#include "recovery_cell.hpp"
 
 using namespace carobcourse;
 using namespace carobcourse::test;
 using namespace std::chrono_literals;
 
-namespace
-{
-
-std::string job_body(const std::string& id, int tasks, int run_ms,
-                     std::int64_t cpu_millis = 1000)
-{
-    return json{{"id", id},
-                {"tasks", tasks},
-                {"run_ms", run_ms},
-                {"resources", {{"cpu_millis", cpu_millis}, {"memory_mb", 100}}}}
-        .dump();
-}
-
-struct two_hosts
-{
-    explicit two_hosts(std::uint64_t seed) : cell(seed)
-    {
-        cell.add_entry_host("north-1", "north");
-        cell.add_entry_host("north-2", "north");
-        cell.add_worker("w1", "north", "r1", {4000, 8000, 0});
-        cell.add_worker("w2", "north", "r2", {4000, 8000, 0});
-        cell.run_for(3s);
-        key = cell.add_team("north-1", "climb-desk");
-    }
-    json shard_row()
-    {
-        const auto answer = cell.table().read("shard", "north.0");
-        return json::parse(answer.body["row"]["value"].get<std::string>());
-    }
-    std::string owner()
-    {
-        return shard_row().value("owner", "");
-    }
-    std::string other_than(const std::string& host) const
-    {
-        return host == "north-1" ? "north-2" : "north-1";
-    }
-    void submit(const std::string& host, const std::string& body)
-    {
-        REQUIRE(cell.call(host, "POST", "/v1/jobs", key, body).http_status ==
-                202);
-    }
-    std::string state_in_table(const std::string& job)
-    {
-        const auto row = cell.table().read("jobs", "north.0/" + job);
-        if (row.status != 200)
-            return "absent";
-        return job_record_from_json(row.body["row"]["value"].get<std::string>())
-            ->state();
-    }
-    bool wait_for_starts(const std::string& job, std::size_t count,
-                         duration most)
-    {
-        return cell.run_until(most,
-                              [&] { return cell.count_starts(job) >= count; });
-    }
-    std::string worker_of(const std::string& job)
-    {
-        for (const auto& item : cell.task_record())
-        {
-            if (item["what"] == "start" && item["attempt"]["job"] == job)
-                return item["worker"];
-        }
-        return {};
-    }
-
-    fake_cell cell;
-    std::string key;
-};
-
-} // namespace
-
 TEST_CASE("after a takeover a task waits for an unreachable worker's lease")
 {
     // Guards against a second start while the worker of the first is only
     // cut off (I2), against a task that is never started again, and against
     // new jobs that wait for that worker too.
-    two_hosts it(101);
+    recovery_cell it(101);
     it.submit("north-1", job_body("j1", 1, 40000, 3000));
     REQUIRE(it.wait_for_starts("j1", 1, 5s));
     it.cell.run_for(2s);
@@ -107,7 +34,7 @@
     // start and the owner's death, so that the row says "waiting".
     for (std::uint64_t seed = 111; seed < 116; ++seed)
     {
-        two_hosts it(seed);
+        recovery_cell it(seed);
         const auto dead = it.owner();
         it.cell.at(it.cell.now(), [] {});
         it.submit(dead, job_body("j1", 1, 40000));
@@ -130,7 +57,7 @@
 TEST_CASE("an attempt of a job that has ended is stopped at its worker")
 {
     // Guards against capacity held for ever by an attempt that no row knows.
-    two_hosts it(121);
+    recovery_cell it(121);
     it.submit("north-1", job_body("j1", 1, 600000));
     REQUIRE(it.wait_for_starts("j1", 1, 5s));
     it.cell.run_for(2s);
@@ -154,7 +81,7 @@
 TEST_CASE("an owner that was paused over a takeover starts nothing")
 {
     // Guards against a resumed owner that acts on its old epoch.
-    two_hosts it(131);
+    recovery_cell it(131);
     it.submit("north-1", job_body("j1", 4, 30000));
     REQUIRE(it.wait_for_starts("j1", 4, 5s));
     const auto paused = it.owner();
@@ -172,7 +99,7 @@
 {
     // Guards against a shard that waits for the lease of an owner that has
     // said that it leaves.
-    two_hosts it(141);
+    recovery_cell it(141);
     const auto owner = it.owner();
     const auto next = it.other_than(owner);
     it.submit("north-1", job_body("j1", 2, 20000));
@@ -191,7 +118,7 @@
 {
     // Guards against an owner that keeps placing tasks on other workers when
     // one of them already obeys a newer owner.
-    two_hosts it(151);
+    recovery_cell it(151);
     worker_sync message;
     message.epoch = 40;
     message.owner = "another";
