Start a new epoch when a renewal is confirmed after the lease lapsed

Cause: a renewal writes no fence row. When its reply came after the holder's own deadline, or after the holder had stepped down, the holder was owner of its old epoch again, with the fence version of the takeover. Its jobs had been dropped at the deadline and were read again, while a commit of the same epoch that was still on its way, such as the move of a job to another shard, could take effect after that read. Every later commit was then contradicted by the fence, which led to a second recovery.

Ruled out: double ownership. The renewal takes effect only on the version of the row that the holder knew, so no other host had taken the shard.

Change: such a reply is followed at once by a write of the next epoch with a new fence, as after a restart. A renewal confirmed in time is as before.

Seen before the change: both new tests of a late reply fail, the holder is owner with epoch 1. After it all of test_recovery_ownership passes, and so do test_recovery_takeover, test_recovery_durability and test_recovery_random.

--- a/src/ownership.cpp
+++ b/src/ownership.cpp
@@ -144,7 +144,8 @@
     commit.writes = {{shard_table, shard_, expect_version, value.dump()}};
     // The fence row changes hands with the epoch and with each write of the
     // owner's jobs, but not with renewals, so these never conflict.
-    if (!is_owner(now))
+    writes_fence_ = !is_owner(now);
+    if (writes_fence_)
         commit.writes.push_back(
             {fence_table, shard_, std::nullopt, fence_value(next_epoch, "")});
     context_.out.emplace_back(std::move(commit));
@@ -167,6 +168,14 @@
     }
     const bool renewed = is_owner(now) && epoch_ == wanted_epoch_;
     row_version_ = result.versions.empty() ? 0 : result.versions.front();
+    if (!renewed && !writes_fence_)
+    {
+        // The lease lapsed or was given up while its renewal was on its way.
+        // Commits of the old epoch may still take effect, so only a new epoch
+        // with a new fence may read the jobs again.
+        take(now, row_version_, wanted_epoch_ + 1);
+        return;
+    }
     epoch_ = wanted_epoch_;
     owner_ = context_.identity.host;
     const auto until = sent_at_ + config::ownership_lease -
--- a/src/ownership_p.hpp
+++ b/src/ownership_p.hpp
@@ -87,6 +87,7 @@
     std::optional<time_point> acts_until_;
     std::optional<op_id> op_;
     bool writing_ = false;
+    bool writes_fence_ = false; ///< The write in flight starts an epoch.
     std::uint64_t wanted_epoch_ = 0;
     time_point sent_at_;
     time_point next_action_;
--- /dev/null
+++ b/tests/test_recovery_ownership.cpp
@@ -0,0 +1,152 @@
+// Ownership of a shard when replies of the table are late.
+#include "core_harness.hpp"
+#include "ownership_p.hpp"
+
+using namespace carobcourse;
+using namespace carobcourse::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// One aggregate and a table, driven by hand.
+class holder
+{
+public:
+    holder() : context_({"north-1", "north", "i1", "", "", 1s}, 1, entropy_) {}
+
+    /// Ticks and returns the commit that it sends; reads are answered.
+    std::optional<store_commit> tick()
+    {
+        aggregate.on_tick(now);
+        return take_commit();
+    }
+
+    /// Gives the reply to a commit that took effect earlier.
+    std::optional<store_commit> reply(const store_result& result)
+    {
+        aggregate.on_store_result(now, result);
+        return take_commit();
+    }
+
+    store_result execute(const store_commit& commit)
+    {
+        return commit_result(commit.op, table.commit(commit_body(commit)));
+    }
+
+    void acquire()
+    {
+        const auto first = tick();
+        REQUIRE(first);
+        reply(execute(*first));
+        REQUIRE(aggregate.is_owner(now));
+        REQUIRE(aggregate.epoch() == 1);
+    }
+
+    std::uint64_t fence_in_table() const
+    {
+        return table.read(fence_table, "north.0").body["row"]["version"];
+    }
+
+    time_point now{1h};
+    standin::table_store table;
+
+private:
+    std::optional<store_commit> take_commit()
+    {
+        std::optional<store_commit> sent;
+        for (const auto& each : std::exchange(context_.out, {}))
+        {
+            if (const auto* commit = std::get_if<store_commit>(&each))
+                sent = *commit;
+            const auto* read = std::get_if<store_read>(&each);
+            if (read == nullptr)
+                continue;
+            store_result result;
+            result.op = read->op;
+            result.status = store_status::ok;
+            const auto answer = table.read(read->table, read->key);
+            if (answer.status == 200)
+                result.rows.push_back({answer.body["row"]["key"],
+                                       answer.body["row"]["version"],
+                                       answer.body["row"]["value"]});
+            aggregate.on_store_result(now, result);
+            sent = take_commit();
+        }
+        return sent;
+    }
+
+    seeded_entropy entropy_{1};
+    core_context context_;
+
+public:
+    ownership aggregate{context_, "north.0"};
+};
+
+} // namespace
+
+TEST_CASE("a renewal confirmed after the lease has lapsed starts a new epoch")
+{
+    // Guards against an owner that takes its old epoch up again. Its jobs
+    // were dropped when the lease lapsed, and a commit of that epoch, such as
+    // the move of a job to another shard, may take effect after they are read
+    // again: the job would run in both shards.
+    holder it;
+    it.acquire();
+    it.now += 9500ms; // The table was down; the lease ends after 9.7 s.
+    const auto renewal = it.tick();
+    REQUIRE(renewal);
+    const auto result = it.execute(*renewal);
+    store_commit late;
+    late.writes = {{fence_table, "north.0", it.aggregate.fence_version(),
+                    fence_value(1, "late")}};
+    it.now += 400ms;
+    it.aggregate.on_tick(it.now);
+    REQUIRE_FALSE(it.aggregate.is_owner(it.now));
+    const auto next = it.reply(result);
+    CHECK_FALSE(it.aggregate.is_owner(it.now));
+    REQUIRE(next);
+    it.reply(it.execute(*next));
+    CHECK(it.aggregate.is_owner(it.now));
+    CHECK(it.aggregate.epoch() == 2);
+    CHECK(it.aggregate.fence_version() == it.fence_in_table());
+    CHECK(it.execute(late).status == store_status::conflict);
+}
+
+TEST_CASE("a renewal confirmed after stepping down starts a new epoch")
+{
+    // Guards against an owner that stepped down because the table or a worker
+    // contradicts it, and is owner of the same epoch again by a renewal that
+    // was on its way.
+    holder it;
+    it.acquire();
+    it.now += 3s;
+    const auto renewal = it.tick();
+    REQUIRE(renewal);
+    const auto result = it.execute(*renewal);
+    it.aggregate.step_down(it.now);
+    const auto next = it.reply(result);
+    CHECK_FALSE(it.aggregate.is_owner(it.now));
+    REQUIRE(next);
+    it.reply(it.execute(*next));
+    CHECK(it.aggregate.epoch() == 2);
+    CHECK(it.aggregate.fence_version() == it.fence_in_table());
+}
+
+TEST_CASE("a renewal confirmed in time keeps the epoch and the fence")
+{
+    // Guards against recovery of the whole shard at every renewal.
+    holder it;
+    it.acquire();
+    for (int i = 0; i < 5; ++i)
+    {
+        it.now += 3s;
+        const auto renewal = it.tick();
+        REQUIRE(renewal);
+        CHECK(renewal->writes.size() == 1);
+        it.reply(it.execute(*renewal));
+        CHECK(it.aggregate.is_owner(it.now));
+        CHECK(it.aggregate.epoch() == 1);
+        CHECK(it.aggregate.fence_version() == it.fence_in_table());
+    }
+}
