Test upper limits through a takeover

Guards I4 when an owner dies with tasks of a team at its limit and the new owner can not reach the worker that runs them: the rows name the tasks, or no row does because the table was down since the starts, or the limit is lowered during the takeover and replies of the worker are lost.

No fault was found.

--- /dev/null
+++ b/tests/test_recovery_limits.cpp
@@ -0,0 +1,171 @@
+// Upper limits of teams through a takeover of their shard (I4).
+#include "recovery_cell.hpp"
+
+using namespace carobcourse;
+using namespace carobcourse::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr int limit = 4;
+constexpr const char* other_job = "job-of-another-team";
+
+resources cores(int count)
+{
+    return {count * 1000, 4000000, 0};
+}
+
+/// Room for twice the limit, so that only the limit holds tasks back.
+struct limited_cell : recovery_cell
+{
+    explicit limited_cell(std::uint64_t seed)
+        : recovery_cell(seed, {4000, 8000, 0}, cores(limit))
+    {
+    }
+
+    /// Replaces the document that was put in force first.
+    void lower_limit(const std::string& host, int count)
+    {
+        const auto text =
+            fmt::format("team = \"climb-desk\"\nversion = 1\n[limit]\n"
+                        "cpu_millis = {}\nmemory_mb = 4000000\n"
+                        "accelerators = 0\n",
+                        count * 1000);
+        const auto reply =
+            cell.call(host, "PUT", "/v1/teams/climb-desk", operator_key, text);
+        INFO(reply.body);
+        REQUIRE(reply.http_status == 200);
+    }
+
+    /// The most tasks of the team, each of one core, that ran at once right
+    /// after a start.
+    int most_after_start(time_point since = {})
+    {
+        const auto since_ms =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                since.time_since_epoch())
+                .count();
+        auto record = cell.task_record();
+        // An end and a start in the same millisecond may be in either order.
+        std::stable_sort(record.begin(), record.end(),
+                         [](const json& a, const json& b)
+                         {
+                             return std::make_tuple(a["at_ms"].get<long>(),
+                                                    a["what"] == "start") <
+                                    std::make_tuple(b["at_ms"].get<long>(),
+                                                    b["what"] == "start");
+                         });
+        int running = 0;
+        int most = 0;
+        for (const auto& item : record)
+        {
+            if (item["attempt"]["job"] == other_job)
+                continue;
+            const bool starts = item["what"] == "start";
+            running += starts ? 1 : -1;
+            if (starts && item["at_ms"].get<long>() >= since_ms)
+                most = std::max(most, running);
+        }
+        return most;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a new owner counts tasks on a worker that it can not reach")
+{
+    // Guards against starts above the limit (I4) by a new owner that counts
+    // only what workers report: one worker runs the whole limit and is cut
+    // off, and more work of the team is there.
+    for (std::uint64_t seed = 401; seed < 406; ++seed)
+    {
+        limited_cell it(seed);
+        it.submit("north-1", job_body("j1", limit, 100000));
+        REQUIRE(it.wait_for_starts("j1", limit, 5s));
+        it.cell.run_for(2s);
+        it.cell.worker_faults[it.worker_of("j1")].cut = true;
+        const auto next = it.take_over();
+        it.submit(next, job_body("j2", 8, 5000));
+        it.cell.run_for(60s);
+        INFO("seed " << seed);
+        CHECK(it.most_after_start() <= limit);
+        // The lease of the worker has ended, so the limit is free again.
+        CHECK(it.cell.count_starts("j2") > 0);
+    }
+}
+
+TEST_CASE("a new owner counts tasks that no row and no worker names")
+{
+    // Guards against starts above the limit when the table was down between
+    // the starts and the owner's death and the worker is cut off: the new
+    // owner knows of no task at all.
+    for (std::uint64_t seed = 411; seed < 416; ++seed)
+    {
+        limited_cell it(seed);
+        const auto dead = it.owner();
+        const auto next = it.other_than(dead);
+        const auto other = it.cell.add_team(dead, "other");
+        // The shard gets its share of the limit.
+        it.submit(dead, job_body("warm-up", limit, 300));
+        REQUIRE(it.wait_for_starts("warm-up", limit, 5s));
+        it.cell.run_for(3s);
+        // Another team fills the workers, so that the job is taken on first
+        // and starts when the table is down.
+        REQUIRE(it.cell
+                    .call(dead, "POST", "/v1/jobs", other,
+                          job_body(other_job, 8, 2000))
+                    .http_status == 202);
+        REQUIRE(it.wait_for_starts(other_job, 8, 5s));
+        // The shard gives a part of an unused share back, so not four.
+        it.submit(dead, job_body("j1", 3, 100000));
+        it.cell.run_for(1s);
+        it.cell.store.down = true;
+        REQUIRE(it.wait_for_starts("j1", 3, 8s));
+        const auto worker = it.worker_of("j1");
+        it.cell.worker_faults[worker].cut = true;
+        it.cell.kill(dead);
+        it.cell.store.down = false;
+        CHECK(it.state_in_table("j1") == "waiting");
+        REQUIRE(it.cell.run_until(20s, [&] { return it.owner() == next; }));
+        it.submit(next, job_body("j2", 8, 5000));
+        it.cell.run_for(60s);
+        INFO("seed " << seed);
+        CHECK(it.most_after_start() <= limit);
+        CHECK(it.cell.count_starts("j2") > 0);
+    }
+}
+
+TEST_CASE("a limit lowered during a takeover holds for the new owner")
+{
+    // Guards against a new owner that inherits the old share and starts up to
+    // it, and against one that starts nothing once the tasks above the new
+    // limit have ended. The worker that runs them is cut off at first, and
+    // then its replies are lost.
+    for (std::uint64_t seed = 421; seed < 426; ++seed)
+    {
+        limited_cell it(seed);
+        it.submit("north-1", job_body("j1", 3, 45000));
+        REQUIRE(it.wait_for_starts("j1", 3, 5s));
+        it.cell.run_for(2s);
+        auto& fault = it.cell.worker_faults[it.worker_of("j1")];
+        fault.cut = true;
+        const auto dead = it.owner();
+        const auto next = it.other_than(dead);
+        it.cell.kill(dead);
+        it.cell.unlist(dead);
+        it.cell.run_for(1s);
+        it.lower_limit(next, 2);
+        const auto lowered = it.cell.now();
+        REQUIRE(it.cell.run_until(30s, [&] { return it.owner() == next; }));
+        it.submit(next, job_body("j2", 6, 3000));
+        it.cell.run_for(8s);
+        fault.lose_replies = 4;
+        fault.cut = false;
+        it.cell.run_for(200s);
+        INFO("seed " << seed);
+        CHECK(it.most_after_start(lowered) <= 2);
+        CHECK(it.state_in_table("j1") == "succeeded");
+        CHECK(it.state_in_table("j2") == "succeeded");
+    }
+}
