Sync a worker early when one of its tasks may have ended

Cause: the end of a task was seen at the next sync, up to 2 s later, and its capacity stayed allocated until then.

Ruled out: an answer that the worker holds open until something ends. One sync is in flight to a worker at a time, so starts and stops would wait for it, and every kind of worker would have to implement it.

Change: a sync is due at the declared end of a task. Past it, or where no run time is declared, the next one follows after 250 ms and then after as long as the task is overdue, up to the usual 2 s. Tasks that an earlier owner started cause none, as the time of their start is not known.

--- a/include/carobcourse/config.hpp
+++ b/include/carobcourse/config.hpp
@@ -49,6 +49,10 @@
 constexpr auto worker_lease = 30000ms;
 constexpr auto worker_sync_period = 2000ms;
 constexpr auto worker_sync_timeout = 1500ms;
+/// A sync that is due early, because a task of the worker is expected to have
+/// ended, keeps this distance from the answer before. It bounds the syncs of
+/// a worker with many short tasks to 4/s beside those that carry work.
+constexpr auto worker_probe_gap = 250ms;
 /// Margin for clock drift: a fixed part plus one percent of the lease.
 constexpr auto drift_margin_fixed = 200ms;
 constexpr int drift_margin_divisor = 100;
--- a/src/worker_book.cpp
+++ b/src/worker_book.cpp
@@ -205,8 +205,11 @@
 void worker_book::start(const std::string& worker, start_task start)
 {
     auto& record = workers_.at(worker);
-    record.attempts[start.attempt] =
-        attempt_record{start.amount, start.team, false};
+    auto& attempt = record.attempts[start.attempt];
+    attempt = {};
+    attempt.amount = start.amount;
+    attempt.team = start.team;
+    attempt.declared = std::chrono::milliseconds(start.run_ms);
     record.starts.push_back(std::move(start));
     reindex(record);
 }
@@ -391,6 +394,26 @@
     worker.sent_starts.clear();
     worker.sent_stops.clear();
     worker.sent_acks.clear();
+    worker.next_sync = std::min(worker.next_sync, next_probe(now, worker));
+}
+
+time_point worker_book::next_probe(time_point now, const worker_record& worker)
+{
+    constexpr duration gap = config::worker_probe_gap;
+    constexpr duration period = config::worker_sync_period;
+    auto probe = now + period;
+    for (const auto& [attempt, record] : worker.attempts)
+    {
+        if (!record.running_since)
+            continue;
+        // At the declared end; past it, the wait doubles the time since, so
+        // that a wrong or unknown run time costs a few syncs only.
+        const auto end = *record.running_since + record.declared;
+        const auto next =
+            now < end ? end : now + std::clamp(now - end, gap, period);
+        probe = std::min(probe, next);
+    }
+    return std::max(probe, now + gap);
 }
 
 void worker_book::take_finished(time_point now, worker_record& worker,
@@ -479,7 +502,11 @@
         auto& record = worker.attempts[task.attempt];
         if (record.confirmed)
             continue;
-        record = attempt_record{task.amount, task.team, true};
+        record.amount = task.amount;
+        record.team = task.team;
+        record.confirmed = true;
+        if (record.sent)
+            record.running_since = now;
         news.push_back(make_news(attempt_news::kind::running, worker.host.id,
                                  task.attempt, record));
     }
--- a/src/worker_book_p.hpp
+++ b/src/worker_book_p.hpp
@@ -21,6 +21,10 @@
     std::string team;
     bool confirmed = false; ///< The worker reported it as running.
     bool sent = false;      ///< The start may have reached the worker.
+    duration declared{0};   ///< Run time, zero when unknown.
+    /// When the worker first reported it here; empty when an owner before
+    /// started it.
+    std::optional<time_point> running_since;
 };
 
 /// News about an attempt, for the scheduler.
@@ -159,6 +163,8 @@
     };
 
     resources granted(const worker_record& worker) const;
+    /// When a sync should look for the end of a task of the worker.
+    static time_point next_probe(time_point now, const worker_record& worker);
     void reindex(const worker_record& worker);
     void sync(time_point now, time_point acts_until, bool may_start,
               worker_record& worker);
--- /dev/null
+++ b/tests/test_recovery_completion.cpp
@@ -0,0 +1,162 @@
+// How soon the end of a task is known, and how many syncs that takes.
+#include "recovery_cell.hpp"
+
+using namespace carobcourse;
+using namespace carobcourse::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr int worker_count = 8;
+constexpr int job_count = 120;
+/// Probes while the wait doubles from the gap to the period of syncs.
+constexpr int doubling_probes = 4;
+
+std::int64_t to_ms(duration length)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(length)
+        .count();
+}
+
+/// Until the row is durable: the write period, one message to the worker and
+/// one to the table of at most 6 ms each way and back, and the timer's ticks.
+const std::int64_t slack_ms = to_ms(config::job_write_period) + 100;
+
+struct measured
+{
+    std::vector<std::int64_t> late_ms; ///< From each task's end to its row.
+    std::vector<std::int64_t> run_ms;
+    double syncs_per_worker_second = 0;
+    double starts_per_worker_second = 0;
+
+    std::int64_t quantile(double part) const
+    {
+        auto sorted = late_ms;
+        std::sort(sorted.begin(), sorted.end());
+        return sorted[static_cast<std::size_t>(
+            part * static_cast<double>(sorted.size() - 1))];
+    }
+    std::string text() const
+    {
+        return fmt::format("end to durable row p50 {} ms, p99 {} ms, most {} "
+                           "ms; {:.2f} syncs/s and {:.2f} starts/s a worker",
+                           quantile(0.5), quantile(0.99), quantile(1),
+                           syncs_per_worker_second, starts_per_worker_second);
+    }
+};
+
+/// Jobs of one task each that run 0.3 s to 8 s. `declared` gives the declared
+/// run time for the true one.
+measured measure(const std::function<int(int)>& declared)
+{
+    fake_cell cell(501);
+    cell.add_entry_host("north-1", "north");
+    for (int i = 0; i < worker_count; ++i)
+        cell.add_worker(fmt::format("w{}", i), "north", "r", {4000, 16000, 0});
+    cell.run_for(3s);
+    const auto key = cell.add_team("north-1", "climb-desk");
+    std::mt19937_64 random(7);
+    measured result;
+    std::map<std::string, time_point> done;
+    const auto began = cell.now();
+    const auto syncs = cell.worker_syncs;
+    const auto watch = [&]
+    {
+        for (int i = 0; i < job_count; ++i)
+        {
+            const auto id = fmt::format("j{}", i);
+            if (done.count(id))
+                continue;
+            const auto row = cell.table().read("jobs", "north.0/" + id);
+            if (row.status == 200 &&
+                row.body["row"]["value"].get<std::string>().find("succeeded") !=
+                    std::string::npos)
+                done[id] = cell.now();
+        }
+        return done.size() == job_count;
+    };
+    for (int i = 0; i < job_count; ++i)
+    {
+        const auto run = std::uniform_int_distribution<int>(300, 8000)(random);
+        result.run_ms.push_back(run);
+        cell.send(
+            "north-1", "POST", "/v1/jobs", key,
+            json{{"id", fmt::format("j{}", i)},
+                 {"run_ms", declared(run)},
+                 {"payload", {{"run_ms", run}}},
+                 {"resources", {{"cpu_millis", 1000}, {"memory_mb", 100}}}}
+                .dump());
+        cell.run_until(std::chrono::milliseconds(
+                           std::uniform_int_distribution<int>(50, 400)(random)),
+                       [&]
+                       {
+                           watch();
+                           return false;
+                       });
+    }
+    REQUIRE(cell.run_until(60s, watch));
+    const auto seconds =
+        std::chrono::duration<double>(cell.now() - began).count();
+    result.syncs_per_worker_second =
+        static_cast<double>(cell.worker_syncs - syncs) / seconds / worker_count;
+    result.starts_per_worker_second = job_count / seconds / worker_count;
+    std::map<std::string, std::int64_t> ends;
+    for (const auto& item : cell.task_record())
+    {
+        if (item["what"] == "end")
+            ends[item["attempt"]["job"]] = item["at_ms"];
+    }
+    for (int i = 0; i < job_count; ++i)
+    {
+        const auto id = fmt::format("j{}", i);
+        result.late_ms.push_back(to_ms(done.at(id).time_since_epoch()) -
+                                 ends.at(id));
+    }
+    return result;
+}
+
+/// The period, a start, an acknowledgement and the probes of each task.
+double most_syncs(const measured& run, int probes)
+{
+    return 1000.0 / static_cast<double>(to_ms(config::worker_sync_period)) +
+           run.starts_per_worker_second * (2 + probes);
+}
+
+} // namespace
+
+TEST_CASE("completion: the end of a task of known run time is seen at once")
+{
+    // Guards against results, and capacity, that wait for the next sync.
+    const auto exact = measure([](int run) { return run; });
+    const auto bound = to_ms(config::worker_probe_gap) + slack_ms;
+    CHECK(exact.quantile(1) <= bound);
+    CHECK(exact.syncs_per_worker_second <= most_syncs(exact, 1));
+    WARN("declared as it is: " << exact.text());
+    const auto too_long = measure([](int run) { return 3 * run; });
+    CHECK(too_long.syncs_per_worker_second <= most_syncs(too_long, 1));
+    WARN("declared three times too long: " << too_long.text());
+}
+
+TEST_CASE("completion: a task of unknown run time is late by its run time")
+{
+    // Guards against short tasks whose end waits for the next sync, and
+    // against a sync rate that grows with the run time.
+    const auto unknown = measure([](int) { return 0; });
+    for (std::size_t i = 0; i < unknown.late_ms.size(); ++i)
+    {
+        INFO("ran " << unknown.run_ms[i] << " ms");
+        CHECK(unknown.late_ms[i] <=
+              std::min(to_ms(config::worker_sync_period),
+                       std::max(to_ms(config::worker_probe_gap),
+                                unknown.run_ms[i])) +
+                  slack_ms);
+    }
+    CHECK(unknown.syncs_per_worker_second <=
+          most_syncs(unknown, doubling_probes));
+    WARN("not declared: " << unknown.text());
+    const auto too_short = measure([](int run) { return run / 3; });
+    CHECK(too_short.syncs_per_worker_second <=
+          most_syncs(too_short, 1 + doubling_probes));
+    WARN("declared three times too short: " << too_short.text());
+}
