Test which jobs wait for an unreachable worker at a takeover

Question: must jobs that never started a task wait up to 30.5 s for a worker that can not be reached? Jobs that no owner has taken on do not: their row in the inbox proves it. Those that were taken on do, and they have to: starts are not written ahead, so that they go on while the table is down, and a row that says "waiting" may belong to a running task.

Considered: a mark in the row before the first start.

No change of the scheduler.

--- a/tests/test_recovery_takeover.cpp
+++ b/tests/test_recovery_takeover.cpp
@@ -138,3 +138,42 @@
     it.submit("north-1", job_body("j1", 4, 500));
     CHECK(it.wait_for_starts("j1", 4, 240s));
 }
+
+TEST_CASE("at a takeover only jobs that were taken on wait for a lost worker")
+{
+    // Guards against a job that was accepted after the owner's death and
+    // waits for the lease of a worker that can not be reached, and against
+    // one that an owner had taken on and that starts before that lease is
+    // over or never: its start may be missing in its row (I2).
+    recovery_cell it(161);
+    it.submit("north-1", job_body("j1", 1, 60000, 4000));
+    it.submit("north-1", job_body("j2", 1, 16000, 4000));
+    REQUIRE(it.wait_for_starts("j1", 1, 5s));
+    REQUIRE(it.wait_for_starts("j2", 1, 5s));
+    it.submit("north-1", job_body("taken-on", 1, 1000));
+    it.cell.run_for(2s);
+    it.cell.worker_faults[it.worker_of("j1")].cut = true;
+    const auto dead = it.owner();
+    const auto next = it.other_than(dead);
+    it.cell.kill(dead);
+    it.cell.run_for(1s);
+    it.submit(next, job_body("new", 1, 1000));
+    REQUIRE(it.cell.run_until(20s, [&] { return it.owner() == next; }));
+    const auto taken = it.cell.now();
+    const auto wait = [&](const std::string& job)
+    {
+        CHECK(it.wait_for_starts(job, 1, 60s));
+        return std::chrono::duration<double>(it.cell.now() - taken).count();
+    };
+    const auto new_wait = wait("new");
+    const auto taken_on_wait = wait("taken-on");
+    WARN("started after " << new_wait << " s and " << taken_on_wait << " s");
+    // The second job frees the other worker within 3 s of the takeover.
+    CHECK(new_wait <= 5);
+    CHECK(taken_on_wait >= 30);
+    CHECK(taken_on_wait <= 30.5 + 1);
+    it.cell.run_for(90s);
+    CHECK(it.cell.count_starts("new") == 1);
+    CHECK(it.cell.count_starts("taken-on") == 1);
+    CHECK(it.cell.overlapping_tasks().empty());
+}
