Measure work done while a data centre leaves and returns

Two data centres of 8 cores with more work than they can do; one is taken out for 60 s and returns. The stand-in workers of the test resume a task from its checkpoint, which they did not model before.

After the return only new jobs fill the data centre, as jobs that moved away stay; that part is left as it is.

--- a/tests/test_recovery_drain.cpp
+++ b/tests/test_recovery_drain.cpp
@@ -69,6 +69,51 @@
         }
         return count;
     }
+    struct work
+    {
+        double kept = 0; ///< Task-seconds that count.
+        double lost = 0; ///< That have to be done again.
+    };
+    /// What tasks did between two times.
+    work work_between(time_point from, time_point to)
+    {
+        const auto ms = [](time_point t)
+        {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(
+                       t.time_since_epoch())
+                .count();
+        };
+        work sum;
+        std::map<std::string, std::int64_t> since;
+        const auto add = [&](std::int64_t start, std::int64_t end, bool kept)
+        {
+            if (!kept && end >= ms(from) && end < ms(to))
+                sum.lost += static_cast<double>(end - start) / 1000;
+            const auto length =
+                std::min(end, ms(to)) - std::max(start, ms(from));
+            if (kept)
+                sum.kept +=
+                    static_cast<double>(std::max<std::int64_t>(0, length)) /
+                    1000;
+        };
+        for (const auto& item : cell.task_record())
+        {
+            const auto attempt = item["attempt"].dump();
+            const auto at = item["at_ms"].get<std::int64_t>();
+            if (item["what"] == "start")
+            {
+                since[attempt] = at;
+                continue;
+            }
+            add(since.at(attempt), at,
+                item["detail"] == "succeeded" ||
+                    item["detail"] == "checkpointed");
+            since.erase(attempt);
+        }
+        for (const auto& [attempt, start] : since)
+            add(start, ms(to), true);
+        return sum;
+    }
     std::string state(const std::string& job)
     {
         const auto reply = cell.call("south-1", "GET", "/v1/jobs/" + job, key);
@@ -190,3 +235,80 @@
             .dump());
     CHECK(fake_cell::error_code(reply) == "CC-1402");
 }
+
+TEST_CASE("work done while a data centre leaves and returns")
+{
+    // Guards against capacity that stays idle, and against work that is done
+    // again, when all tasks of a data centre are checkpointed and finish
+    // elsewhere: half of the cell leaves for 60 s, with work for all of it.
+    for (const bool checkpoints : {true, false})
+    {
+        two_data_centres it(251);
+        const auto progress =
+            std::make_shared<std::map<std::string, std::int64_t>>();
+        for (const auto* worker : {"n1", "n2", "s1", "s2"})
+            it.cell.worker(worker).share_progress(progress);
+        std::mt19937_64 random(5);
+        std::uniform_int_distribution<int> run_ms(5000, 15000);
+        int jobs = 0;
+        const auto submit = [&](const std::string& host)
+        {
+            it.cell.send(
+                host, "POST", "/v1/jobs", it.key,
+                json{{"id", fmt::format("j{}", ++jobs)},
+                     {"run_ms", run_ms(random)},
+                     {"checkpoints", checkpoints},
+                     {"resources", {{"cpu_millis", 1000}, {"memory_mb", 100}}}}
+                    .dump());
+        };
+        // Each data centre has 8 cores and gets on average 10
+        // core-seconds a second.
+        const auto run_with_arrivals = [&](int seconds)
+        {
+            for (int i = 0; i < seconds; ++i)
+            {
+                submit("north-1");
+                submit("south-1");
+                it.cell.run_for(1s);
+            }
+        };
+        for (int i = 0; i < 20; ++i)
+        {
+            submit("north-1");
+            submit("south-1");
+        }
+        run_with_arrivals(20);
+        const auto began = it.cell.now();
+        it.set_north("out");
+        const auto out_at = it.cell.now();
+        run_with_arrivals(60);
+        it.set_north("in");
+        const auto in_at = it.cell.now();
+        run_with_arrivals(40);
+        const auto ended = it.cell.now();
+        const auto seconds = [](duration length)
+        { return std::chrono::duration<double>(length).count(); };
+        const auto gone = it.work_between(began, in_at);
+        const auto back = it.work_between(in_at, ended);
+        const auto ideal_gone =
+            16 * seconds(out_at - began) + 8 * seconds(in_at - out_at);
+        const auto ideal_back = 16 * seconds(ended - in_at);
+        WARN((checkpoints ? "with" : "without")
+             << " checkpoints: " << gone.kept << " of " << ideal_gone
+             << " task-seconds while it is out, " << back.kept << " of "
+             << ideal_back << " after its return, "
+             << 100 * (gone.kept + back.kept) / (ideal_gone + ideal_back)
+             << "% together; to be done again " << gone.lost + back.lost);
+        // Tasks may run for 5 s more where the data centre is out (I5).
+        CHECK(gone.kept <= ideal_gone + 8 * 5);
+        const auto lost = gone.lost + back.lost;
+        CHECK(it.cell.overlapping_tasks().empty());
+        if (checkpoints)
+            CHECK(lost == 0);
+        else
+            CHECK(lost > 0); // The measurement sees it.
+        it.cell.run_for(400s);
+        for (int i = 1; i <= jobs; ++i)
+            CHECK(it.state(fmt::format("j{}", i)) == "succeeded");
+    }
+}
--- a/tools/standin_p.hpp
+++ b/tools/standin_p.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -64,6 +65,13 @@
     {
         capacity_ = capacity;
     }
+    /// Keeps the progress of checkpointed tasks in `progress`, by checkpoint,
+    /// so that a task resumes from it on any worker that shares the map.
+    void share_progress(
+        std::shared_ptr<std::map<std::string, std::int64_t>> progress)
+    {
+        progress_ms_ = std::move(progress);
+    }
     /// Turns the check of free capacity off, so that a test judges what the
     /// owner records.
     void set_checks_capacity(bool checks)
@@ -81,6 +89,7 @@
         start_task start;
         steady::time_point started;
         std::optional<steady::time_point> ends;
+        std::int64_t resumed_ms = 0; ///< Done before, up to the checkpoint.
     };
 
     void take(steady::time_point now, const worker_sync& message,
@@ -101,6 +110,7 @@
     steady::time_point token_issued_;
     steady::time_point lease_until_;
     bool checks_capacity_ = true;
+    std::shared_ptr<std::map<std::string, std::int64_t>> progress_ms_;
     bool failing_ = false;
     std::map<attempt_id, task> running_;
     std::map<attempt_id, finished_task> finished_;
--- a/tools/standin_worker.cpp
+++ b/tools/standin_worker.cpp
@@ -93,6 +93,11 @@
     auto run_ms = start.run_ms;
     if (payload.is_object())
         run_ms = payload.value("run_ms", run_ms);
+    if (progress_ms_ && progress_ms_->count(start.checkpoint) > 0)
+    {
+        started.resumed_ms = progress_ms_->at(start.checkpoint);
+        run_ms = std::max<std::int64_t>(1, run_ms - started.resumed_ms);
+    }
     if (run_ms > 0 || start.kind != job_kind::service)
         started.ends = now + std::chrono::milliseconds(
                                  run_ms > 0 ? run_ms : default_run_ms);
@@ -144,6 +149,12 @@
     if (outcome == task_outcome::checkpointed)
         finished.checkpoint = "checkpoint/" + attempt.task.job + "/" +
                               std::to_string(attempt.task.index);
+    if (progress_ms_ && outcome == task_outcome::checkpointed)
+    {
+        const auto& task = running_.at(attempt);
+        (*progress_ms_)[finished.checkpoint] =
+            task.resumed_ms + clock_ms(now) - clock_ms(task.started);
+    }
     finished_[attempt] = finished;
     running_.erase(attempt);
     note(now, "end", attempt, to_string(outcome));
