--- a/tests/recovery_cell.hpp
+++ b/tests/recovery_cell.hpp
@@ -48,7 +48,7 @@
     std::string take_over()
     {
         const auto dead = owner();
-        const auto next = other_than(dead);
+        auto next = other_than(dead);
         cell.kill(dead);
         REQUIRE(cell.run_until(std::chrono::seconds(20),
                                [&] { return owner() == next; }));
--- a/tests/test_random_schedules.cpp
+++ b/tests/test_random_schedules.cpp
@@ -162,7 +162,7 @@
             return;
         const auto id = fmt::format("job-{}", ++sequence_);
         jobs_.push_back(id);
-        const resources amount{pick(1, 4) * 1000, pick(100, 3000),
+        const resources amount{std::int64_t{1000} * pick(1, 4), pick(100, 3000),
                                pick(0, 2) == 0 ? pick(1, 2) : 0};
         amount_of_[id] = amount;
         cell_.send(host, "POST", "/v1/jobs", key_,
--- a/tests/test_recovery_limits.cpp
+++ b/tests/test_recovery_limits.cpp
@@ -11,7 +11,7 @@
 constexpr int limit = 4;
 constexpr const char* other_job = "job-of-another-team";
 
-resources cores(int count)
+resources cores(std::int64_t count)
 {
     return {count * 1000, 4000000, 0};
 }
