Prove the path of requests under failure with real processes

- A ticketed request with a body near 1 MiB that came through another entry host was lost and its caller waited until the deadline: base64 makes it longer than the frame limit of 1 MiB, and a longer frame ends the link.
Ruled out: the issuer and the ledger, small bodies pass.
- The HTTP server never told the core that a caller went away.
A queued request is dropped and counted whether it has a name or not; one that was dispatched runs on and keeps its record.
- A planned stop gave the last answers 200 ms to be written, whatever the machine.
It now also waits, up to 2 s, until the server has handed them over.
- Only the host that a leaving server answered knew of X-Leaving.
A host without load could send it a first request at any later time.
Hosts now tell the others of their data centre once a second while the list has it as live.
- Rows of the table "idempotency" were never removed.
A host removes a row that it has known unchanged for 600 s plus the drift margin by its own clock; 64 rows in a commit, two commits a second at most.
The listed entry host with the lowest id scans for the rows of others, 64 every 2 s, and waits 60 s longer.
A key that is used again after nothing ran kept its old row; its row is now written again, or its removal would let the second use run twice.
- An empty Idempotency-Key was taken for none, and the first of two different ones was used; a malformed query was ignored.
- Input that is no request ended in a bare close.

Each test was seen failing on a copy with its mechanism removed or inverted, but for two: reuse of a connection after a timeout is prevented by libcurl, and the wait for the last writes has no test of its own.

--- a/include/carobcourse/config.hpp
+++ b/include/carobcourse/config.hpp
@@ -33,7 +33,10 @@
 
 // Links between entry hosts.
 constexpr std::size_t peer_ring_capacity = 256;
-constexpr std::size_t max_peer_frame_bytes = std::size_t{1024} * 1024;
+/// Holds a forwarded request or answer of the largest size: base64 makes it a
+/// third longer. A longer frame would end the link.
+constexpr std::size_t max_peer_frame_bytes = std::size_t{2048} * 1024;
+constexpr std::size_t max_forwarded_answer_bytes = std::size_t{1280} * 1024;
 constexpr std::size_t max_peer_handshake_bytes = 4096;
 constexpr std::size_t max_peer_connections = 1024;
 /// Bytes buffered in a connection above which its ring holds messages back.
@@ -104,6 +107,20 @@
 // At most once.
 constexpr auto ticket_validity = 300s;
 constexpr auto idempotency_memory = 300s;
+/// Age of a row of table `idempotency` from which it is removed: the key is
+/// remembered from the latest end of its request on.
+constexpr auto idempotency_row_age = max_request_deadline + idempotency_memory;
+/// Rows of accepting hosts that are gone are removed this much later, so that
+/// a host that lives removes its own.
+constexpr auto idempotency_row_grace = 60s;
+/// Removals at most, per host: one commit of `claim_batch` rows.
+constexpr auto row_removal_period = 500ms;
+/// One page of the table in this time, read by one entry host of all; keeps
+/// the scan under the 8 KB/s of control traffic.
+constexpr auto row_scan_period = 2000ms;
+constexpr std::size_t row_scan_page = 64;
+/// Rows that a scanning host remembers; others wait for a later pass.
+constexpr std::size_t max_rows_watched = 65536;
 constexpr std::size_t max_idempotency_key_bytes = 128;
 constexpr std::size_t claim_batch = 64;
 constexpr std::size_t ledger_capacity = 262144;
--- a/include/carobcourse/result_code.hpp
+++ b/include/carobcourse/result_code.hpp
@@ -26,6 +26,8 @@
     X(invalid_document, 1005, 422, not_run, "the document is invalid")         \
     X(invalid_settings, 1006, 500, not_run, "the settings are invalid")        \
     X(invalid_trace, 1007, 500, not_applicable, "the trace is malformed")      \
+    X(request_too_slow, 1008, 408, not_run,                                    \
+      "the request did not arrive in time")                                    \
     X(key_missing, 1010, 401, not_run, "no key came with the request")         \
     X(key_unknown, 1011, 403, not_run, "the key is unknown or withdrawn")      \
     X(key_wrong_team, 1012, 403, not_run, "the key belongs to another team")   \
--- a/src/entry_host.cpp
+++ b/src/entry_host.cpp
@@ -144,16 +144,29 @@
 }
 
 void entry_host::on_event(time_point, const peer_refusals& refusals)
+{
+    count_refusals("carobcourse_peer_refusals_total", log_code::peer_refused,
+                   refusals.counts);
+}
+
+void entry_host::on_event(time_point, const input_refusals& refusals)
+{
+    count_refusals("carobcourse_input_refusals_total", log_code::input_refused,
+                   refusals.counts);
+}
+
+void entry_host::count_refusals(
+    const std::string& metric, log_code code,
+    const std::map<std::string, std::uint64_t>& counts)
 {
     std::string detail;
-    for (const auto& [reason, count] : refusals.counts)
+    for (const auto& [reason, count] : counts)
     {
-        context_.counters.count("carobcourse_peer_refusals_total", reason,
-                                count);
+        context_.counters.count(metric, reason, count);
         detail +=
             fmt::format("{}{}={}", detail.empty() ? "" : " ", reason, count);
     }
-    context_.log(log_code::peer_refused, detail);
+    context_.log(code, detail);
 }
 
 void entry_host::on_event(time_point now, const stop_request&)
--- a/src/entry_host_p.hpp
+++ b/src/entry_host_p.hpp
@@ -41,8 +41,11 @@
     void on_event(time_point now, const peer_received& message);
     void on_event(time_point now, const peer_state& state);
     void on_event(time_point now, const peer_refusals& refusals);
+    void on_event(time_point now, const input_refusals& refusals);
     void on_event(time_point now, const stop_request&);
 
+    void count_refusals(const std::string& metric, log_code code,
+                        const std::map<std::string, std::uint64_t>& counts);
     void answer_health(time_point now, const api_call& call);
     bool is_drained() const;
     void check_drained(time_point now);
--- a/src/event_p.hpp
+++ b/src/event_p.hpp
@@ -348,6 +348,13 @@
     std::map<std::string, std::uint64_t> counts;
 };
 
+/// Input on callers' connections that was no request, since the last such
+/// event, counted by reason.
+struct input_refusals
+{
+    std::map<std::string, std::uint64_t> counts;
+};
+
 // -------------------------------------------------------------------- other
 
 struct timer_tick
@@ -372,7 +379,7 @@
 using event =
     std::variant<timer_tick, api_call, call_abandoned, store_result,
                  host_list_result, worker_result, execute_result, peer_received,
-                 peer_state, peer_refusals, stop_request>;
+                 peer_state, peer_refusals, input_refusals, stop_request>;
 
 using effect = std::variant<api_reply, store_commit, store_read, store_scan,
                             list_hosts, worker_sync, execute_request, set_peers,
--- a/src/executor_pool.cpp
+++ b/src/executor_pool.cpp
@@ -40,6 +40,25 @@
     }
 }
 
+void executor_pool::mark_leaving(const std::string& executor)
+{
+    const auto found = executors_.find(executor);
+    if (found != executors_.end())
+        found->second.leaving = true;
+}
+
+std::vector<std::string> executor_pool::announced_leaving() const
+{
+    std::vector<std::string> announced;
+    for (const auto& [id, record] : executors_)
+    {
+        if (record.announced && record.listed &&
+            record.host.state == host_state::live)
+            announced.push_back(id);
+    }
+    return announced;
+}
+
 bool executor_pool::serves(const std::string& service) const
 {
     const auto found = by_service_.find(service);
@@ -161,6 +180,7 @@
     auto& record = found->second;
     --record.outstanding;
     record.leaving = record.leaving || result.leaving;
+    record.announced = record.announced || result.leaving;
     if (result.no_slot)
     {
         std::uniform_real_distribution<double> jitter(0.5, 1.5);
--- a/src/executor_pool_p.hpp
+++ b/src/executor_pool_p.hpp
@@ -45,6 +45,14 @@
 
     void update_hosts(time_point now, const std::vector<host_entry>& hosts);
 
+    /// Takes note that another entry host was told by the server that it
+    /// leaves. Unknown servers are ignored.
+    void mark_leaving(const std::string& executor);
+
+    /// Servers that told this host that they leave, while the list has them as
+    /// live.
+    std::vector<std::string> announced_leaving() const;
+
     /// True when a server that is not leaving serves `service`.
     bool serves(const std::string& service) const;
 
@@ -79,6 +87,7 @@
         time_point paused_until; ///< After a refusal for want of a slot.
         std::uint32_t reported_busy = 0;
         bool leaving = false;
+        bool announced = false; ///< Said so itself, to this host.
         bool listed = false;
         time_point forget_at; ///< When not listed.
         std::uint32_t failures = 0;
--- a/src/log_event_p.hpp
+++ b/src/log_event_p.hpp
@@ -50,6 +50,7 @@
       "a backend server fails; its circuit is open")                           \
     X(requests_cut, 2504, warning,                                             \
       "the drain deadline passed with requests unanswered")                    \
+    X(input_refused, 2505, warning, "input that is no request was refused")    \
     X(peer_connected, 2601, info, "a link to an entry host is up")             \
     X(peer_lost, 2602, warning, "a link to an entry host is down")             \
     X(peer_refused, 2603, warning, "messages of peers were refused or dropped")
--- a/src/request_claims.cpp
+++ b/src/request_claims.cpp
@@ -32,10 +32,11 @@
     {
         auto& claim = waiting_.front();
         commit.writes.push_back(
-            {table, claim.key, 0,
+            {table, claim.key, claim.expect,
              json{{"host", context_.identity.host},
                   {"incarnation", context_.identity.incarnation},
-                  {"claim", claim.claim}}
+                  {"claim", claim.claim},
+                  {"use", claim.use}}
                  .dump()});
         batch_.push_back(std::move(claim));
         waiting_.pop_front();
@@ -55,7 +56,9 @@
         return {};
     const auto claim = read->second;
     reads_.erase(read);
-    return {on_read(result, claim)};
+    if (auto outcome = on_read(result, claim))
+        return {*std::move(outcome)};
+    return {};
 }
 
 request_claims::outcomes request_claims::on_commit(const store_result& result)
@@ -66,8 +69,10 @@
     switch (result.status)
     {
     case store_status::ok:
-        for (const auto& claim : batch)
-            settled.push_back({claim.request, claim_status::taken, "", ""});
+        for (std::size_t i = 0; i < batch.size(); ++i)
+            settled.push_back(
+                {batch[i].request, claim_status::taken, "", "", batch[i].key,
+                 i < result.versions.size() ? result.versions[i] : 0});
         break;
     case store_status::conflict:
         // Nothing was written. The row that exists is read; the others go
@@ -83,8 +88,8 @@
     case store_status::not_sent:
     case store_status::unavailable:
         for (const auto& claim : batch)
-            settled.push_back(
-                {claim.request, claim_status::unavailable, "", ""});
+            settled.push_back({claim.request, claim_status::unavailable, "", "",
+                               claim.key, 0});
         break;
     case store_status::unknown:
         for (const auto& claim : batch)
@@ -101,10 +106,11 @@
     context_.out.emplace_back(store_read{op, table, claim.key});
 }
 
-claim_outcome request_claims::on_read(const store_result& result,
-                                      const request_claim& claim) const
+std::optional<claim_outcome> request_claims::on_read(const store_result& result,
+                                                     const request_claim& claim)
 {
-    claim_outcome outcome{claim.request, claim_status::unavailable, "", ""};
+    claim_outcome outcome{
+        claim.request, claim_status::unavailable, "", "", claim.key, 0};
     if (result.status != store_status::ok || result.rows.empty())
         return outcome;
     const auto row = json::parse(result.rows.front().value, nullptr, false);
@@ -113,9 +119,19 @@
         return outcome;
     outcome.holder = row.value("host", "");
     outcome.incarnation = row.value("incarnation", "");
-    if (outcome.incarnation == context_.identity.incarnation &&
-        row.value("claim", "") == claim.claim)
-        outcome.status = claim_status::taken;
+    if (outcome.incarnation != context_.identity.incarnation ||
+        row.value("claim", "") != claim.claim)
+        return outcome;
+    const auto version = result.rows.front().version;
+    if (row.value("use", std::uint32_t{0}) != claim.use)
+    {
+        auto again = claim;
+        again.expect = version;
+        waiting_.push_front(std::move(again));
+        return std::nullopt;
+    }
+    outcome.status = claim_status::taken;
+    outcome.version = version;
     return outcome;
 }
 
--- a/src/request_claims_p.hpp
+++ b/src/request_claims_p.hpp
@@ -19,11 +19,14 @@
     std::string request;
     std::string key;   ///< Row key: team/idempotency key.
     std::string claim; ///< Names the ledger entry of this incarnation.
+    /// Grows each time the entry is used again after nothing ran.
+    std::uint32_t use = 0;
+    std::uint64_t expect = 0; ///< Version of the row, 0 when absent.
 };
 
 enum class claim_status : std::uint8_t
 {
-    taken,      ///< The row names this claim.
+    taken,      ///< The row names this use of this claim.
     held,       ///< The row names another claim.
     unavailable ///< Not settled; this claim must not be acted on.
 };
@@ -34,9 +37,13 @@
     claim_status status = claim_status::unavailable;
     std::string holder; ///< Host that holds the row.
     std::string incarnation;
+    std::string key;           ///< Row key.
+    std::uint64_t version = 0; ///< Of the row when taken.
 };
 
-/// Inserts rows if absent, several to a commit. Not thread safe.
+/// Inserts rows if absent, several to a commit. A row of an earlier use of the
+/// same claim is written again, so that its age counts from this use. Not
+/// thread safe.
 class request_claims
 {
 public:
@@ -52,8 +59,9 @@
     using outcomes = std::vector<claim_outcome>;
 
     outcomes on_commit(const store_result& result);
-    claim_outcome on_read(const store_result& result,
-                          const request_claim& claim) const;
+    /// Returns nothing when the row is to be written again.
+    std::optional<claim_outcome> on_read(const store_result& result,
+                                         const request_claim& claim);
     void read_back(const request_claim& claim);
 
     core_context& context_;
--- a/src/request_ledger.cpp
+++ b/src/request_ledger.cpp
@@ -125,20 +125,20 @@
     if (auto* known = find(team, name))
     {
         if (known->fingerprint != fingerprint)
-            return {ledger_verdict::mismatch, "", nullptr};
+            return {ledger_verdict::mismatch, "", nullptr, 0};
         switch (known->now)
         {
         case state::running:
-            return {ledger_verdict::in_progress, "", nullptr};
+            return {ledger_verdict::in_progress, "", nullptr, 0};
         case state::answered:
-            return {ledger_verdict::recorded, "", &known->answer};
+            return {ledger_verdict::recorded, "", &known->answer, 0};
         case state::unknown:
-            return {ledger_verdict::unknown, "", nullptr};
+            return {ledger_verdict::unknown, "", nullptr, 0};
         case state::not_run:
             break;
         }
         known->now = state::running;
-        return {ledger_verdict::fresh, known->claim, nullptr};
+        return {ledger_verdict::fresh, known->claim, nullptr, ++known->uses};
     }
     auto& of_team = team_entries_[team];
     if (entries_.size() >= config::ledger_capacity ||
@@ -152,7 +152,7 @@
     const entry_name key{team, name};
     expiries_.emplace(expires, key);
     const auto at = entries_.emplace(key, std::move(added)).first;
-    return {ledger_verdict::fresh, at->second.claim, nullptr};
+    return {ledger_verdict::fresh, at->second.claim, nullptr, 0};
 }
 
 void request_ledger::record(const std::string& team, const std::string& name,
--- a/src/request_ledger_p.hpp
+++ b/src/request_ledger_p.hpp
@@ -68,6 +68,7 @@
         ledger_verdict verdict = ledger_verdict::full;
         std::string claim; ///< Names the entry in the table while fresh.
         const recorded_answer* answer = nullptr; ///< Valid when recorded.
+        std::uint32_t use = 0; ///< Counts the uses of the entry while fresh.
     };
     /// Enters a request, or judges a repeat of it. `fingerprint` tells
     /// different requests under one name apart.
@@ -109,6 +110,7 @@
         state now = state::running;
         std::uint64_t fingerprint = 0;
         std::string claim;
+        std::uint32_t uses = 0;
         recorded_answer answer;
         time_point expires;
     };
--- /dev/null
+++ b/src/request_rows.cpp
@@ -0,0 +1,166 @@
+#include "request_rows_p.hpp"
+
+#include <utility>
+
+namespace carobcourse
+{
+
+namespace
+{
+
+constexpr char table[] = "idempotency";
+
+/// The host that accepted a request may measure its deadline on a slower clock.
+constexpr duration age =
+    config::idempotency_row_age +
+    config::idempotency_row_age / config::drift_margin_divisor +
+    config::drift_margin_fixed;
+constexpr duration age_of_others = age + config::idempotency_row_grace;
+
+} // namespace
+
+request_rows::request_rows(core_context& context) : context_(context) {}
+
+void request_rows::add_own(time_point now, std::string key,
+                           std::uint64_t version)
+{
+    // What is dropped here is found by the scan.
+    if (own_.size() >= config::ledger_capacity)
+        own_.pop_front();
+    own_.push_back({std::move(key), version, now + age});
+}
+
+void request_rows::set_scanning(bool scanning)
+{
+    if (scanning_ == scanning)
+        return;
+    scanning_ = scanning;
+    seen_.clear();
+    after_.clear();
+    scan_.reset();
+}
+
+void request_rows::on_tick(time_point now)
+{
+    if (!commit_ && now >= next_removal_)
+        remove_due(now);
+    if (scanning_ && !scan_ && now >= next_scan_)
+        scan_next(now);
+}
+
+bool request_rows::on_store_result(time_point now, const store_result& result)
+{
+    if (commit_ && result.op == *commit_)
+        on_removed(result);
+    else if (scan_ && result.op == *scan_)
+        on_scanned(now, result);
+    else
+        return false;
+    return true;
+}
+
+// ------------------------------------------------------------------ removal
+
+void request_rows::remove_due(time_point now)
+{
+    while (!own_.empty() && own_.front().due <= now &&
+           over_.size() < config::claim_batch)
+    {
+        over_.push_back(std::move(own_.front()));
+        own_.pop_front();
+    }
+    if (over_.empty())
+        return;
+    next_removal_ = now + config::row_removal_period;
+    store_commit commit;
+    commit.op = context_.next_op(component::requests);
+    while (!over_.empty() && batch_.size() < config::claim_batch)
+    {
+        const auto& row = over_.front();
+        commit.writes.push_back({table, row.key, row.version, std::nullopt});
+        batch_.push_back(std::move(over_.front()));
+        over_.pop_front();
+    }
+    commit_ = commit.op;
+    context_.out.emplace_back(std::move(commit));
+}
+
+void request_rows::on_removed(const store_result& result)
+{
+    commit_.reset();
+    auto batch = std::exchange(batch_, {});
+    if (result.status == store_status::ok)
+    {
+        context_.counters.count("carobcourse_idempotency_rows_removed_total",
+                                "", batch.size());
+        return;
+    }
+    // A conflict wrote nothing: that row was written again or is gone already.
+    // The others are tried again, as is everything after a failure.
+    if (result.status == store_status::conflict &&
+        result.conflict_index < batch.size())
+        batch.erase(batch.begin() +
+                    static_cast<std::ptrdiff_t>(result.conflict_index));
+    over_.insert(over_.begin(), std::make_move_iterator(batch.begin()),
+                 std::make_move_iterator(batch.end()));
+}
+
+// --------------------------------------------------------------------- scan
+
+void request_rows::scan_next(time_point now)
+{
+    next_scan_ = now + config::row_scan_period;
+    store_scan scan;
+    scan.op = context_.next_op(component::requests);
+    scan.table = table;
+    scan.after = after_;
+    scan.limit = config::row_scan_page;
+    scan_ = scan.op;
+    context_.out.emplace_back(std::move(scan));
+}
+
+void request_rows::on_scanned(time_point now, const store_result& result)
+{
+    scan_.reset();
+    if (result.status != store_status::ok)
+        return; // The same page is read again.
+    for (const auto& each : result.rows)
+        see(now, each);
+    if (result.rows.size() < config::row_scan_page)
+        end_pass();
+    else
+        after_ = result.rows.back().key;
+}
+
+void request_rows::see(time_point now, const row& seen)
+{
+    const auto found = seen_.find(seen.key);
+    if (found == seen_.end())
+    {
+        if (seen_.size() < config::max_rows_watched)
+            seen_[seen.key] = {seen.version, now, pass_};
+        return;
+    }
+    auto& known = found->second;
+    known.pass = pass_;
+    if (known.version != seen.version)
+    {
+        known.version = seen.version;
+        known.first = now;
+    }
+    else if (now - known.first >= age_of_others &&
+             over_.size() < config::claim_batch)
+    {
+        over_.push_back({seen.key, seen.version, now});
+    }
+}
+
+void request_rows::end_pass()
+{
+    for (auto it = seen_.begin(); it != seen_.end();)
+        it = it->second.pass == pass_ ? std::next(it) : seen_.erase(it);
+    ++pass_;
+    after_.clear();
+}
+
+} // namespace carobcourse
--- a/src/request_service.cpp
+++ b/src/request_service.cpp
@@ -44,7 +44,7 @@
 request_service::request_service(core_context& context,
                                  const config_service& config)
     : context_(context), config_(config), executors_(context), ledger_(context),
-      claims_(context),
+      claims_(context), rows_(context),
       retry_credit_(config::max_saved_retries * config::requests_per_retry)
 {
 }
@@ -183,9 +183,10 @@
     request.idempotent =
         idempotent != call.query.end() && idempotent->second == "true";
     const auto& key = call.idempotency_key;
-    if (key.empty())
+    // An empty key must not be taken for none: the caller wants one run.
+    if (key.empty() && call.headers.count("idempotency-key") == 0)
         return std::nullopt;
-    if (!is_valid_idempotency_key(key))
+    if (key.empty() || !is_valid_idempotency_key(key))
         return error{result_code::bad_request,
                      "Idempotency-Key must be 1 to 128 visible characters "
                      "without '/'"};
@@ -233,15 +234,15 @@
             return;
         }
     }
-    std::string claim;
+    request_ledger::begun begun;
     if (!request.name.empty())
     {
         if (!check_ticket(now, request))
             return;
-        const auto begun = begin(now, request);
-        if (!begun)
+        const auto fresh = begin(now, request);
+        if (!fresh)
             return;
-        claim = *begun;
+        begun = *fresh;
     }
     if (const auto why = check_room(now, request))
     {
@@ -271,7 +272,8 @@
     auto& accepted = requests_.emplace(id, std::move(request)).first->second;
     if (starts_with(accepted.name, key_name))
     {
-        claims_.add({id, accepted.team + "/" + accepted.name.substr(2), claim});
+        claims_.add({id, accepted.team + "/" + accepted.name.substr(2),
+                     begun.claim, begun.use});
         claims_.flush();
         return;
     }
@@ -317,8 +319,8 @@
     return true;
 }
 
-std::optional<std::string> request_service::begin(time_point now,
-                                                  const request_record& request)
+std::optional<request_ledger::begun>
+request_service::begin(time_point now, const request_record& request)
 {
     auto expires = now + config::idempotency_memory;
     if (starts_with(request.name, ticket_name))
@@ -330,7 +332,7 @@
     switch (begun.verdict)
     {
     case ledger_verdict::fresh:
-        return begun.claim;
+        return begun;
     case ledger_verdict::recorded:
         context_.counters.count("carobcourse_repeats_answered_total");
         answer(request.from, begun.answer->http_status,
@@ -594,6 +596,9 @@
     expire(now);
     ledger_.expire(now);
     claims_.flush();
+    announce_leaving(now);
+    if (!refuse_from_)
+        rows_.on_tick(now);
     dispatch(now);
 }
 
@@ -601,12 +606,27 @@
                                const std::vector<host_entry>& hosts)
 {
     executors_.update_hosts(now, hosts);
+    const host_entry* scanning = nullptr;
+    peers_.clear();
+    for (const auto& host : hosts)
+    {
+        if (host.kind == host_kind::entry &&
+            host.data_centre == context_.identity.data_centre &&
+            host.id != context_.identity.host)
+            peers_.push_back(host.id);
+        if (host.kind == host_kind::entry && host.state == host_state::live &&
+            (!scanning || host.id < scanning->id))
+            scanning = &host;
+    }
+    rows_.set_scanning(scanning && scanning->id == context_.identity.host);
     dispatch(now);
 }
 
 void request_service::on_store_result(time_point now,
                                       const store_result& result)
 {
+    if (rows_.on_store_result(now, result))
+        return;
     for (const auto& outcome : claims_.on_store_result(result))
         on_claim(now, outcome);
     claims_.flush();
@@ -615,6 +635,8 @@
 
 void request_service::on_claim(time_point now, const claim_outcome& outcome)
 {
+    if (outcome.status == claim_status::taken && outcome.version > 0)
+        rows_.add_own(now, outcome.key, outcome.version);
     const auto found = requests_.find(outcome.request);
     if (found == requests_.end() || found->second.now != stage::claiming)
         return;
@@ -653,9 +675,14 @@
     auto& request = requests_.at(found->second);
     request.abandoned = true;
     context_.counters.count("carobcourse_calls_abandoned_total");
-    // A named request goes on, as its caller may come back for the answer.
-    if (request.now != stage::in_flight && request.name.empty())
-        remove(request);
+    // What may have run goes on if it has a name, as its caller may come back
+    // for the answer. What certainly did not run is free to be run by a repeat.
+    if (request.now == stage::in_flight ||
+        (request.may_have_run && !request.name.empty()))
+        return;
+    context_.counters.count("carobcourse_calls_abandoned_dropped_total");
+    ledger_.mark_not_run(request.team, request.name);
+    remove(request);
 }
 
 // --------------------------------------------------------------------- stop
--- a/src/request_service_forward.cpp
+++ b/src/request_service_forward.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t base64_text_group = 4;
 constexpr std::size_t base64_byte_group = 3;
+constexpr char leaving_message[] = "executors_leaving";
 
 /// Bodies are any bytes, JSON text is UTF-8.
 std::string to_base64(const std::string& bytes)
@@ -52,12 +53,15 @@
 
 bool request_service::on_peer(time_point now, const peer_received& message)
 {
-    if (message.type != "forward_request" && message.type != "forward_answer")
+    if (message.type != "forward_request" && message.type != "forward_answer" &&
+        message.type != leaving_message)
         return false;
     try
     {
         if (message.type == "forward_request")
             on_forward_request(now, message);
+        else if (message.type == leaving_message)
+            on_executors_leaving(message);
         else
             on_forward_answer(message);
     }
@@ -144,6 +148,27 @@
     forwards_.erase(found);
 }
 
+void request_service::announce_leaving(time_point now)
+{
+    if (now < next_announcement_)
+        return;
+    next_announcement_ = now + config::heartbeat_period;
+    const auto leaving = executors_.announced_leaving();
+    if (leaving.empty())
+        return;
+    const auto body = json{{"executors", leaving}}.dump();
+    for (const auto& peer : peers_)
+        context_.out.emplace_back(peer_send{peer, leaving_message, body});
+}
+
+void request_service::on_executors_leaving(const peer_received& message)
+{
+    const auto value = json::parse(message.body);
+    for (const auto& executor :
+         value.at("executors").get<std::vector<std::string>>())
+        executors_.mark_leaving(executor);
+}
+
 void request_service::fail_forward(std::uint64_t id)
 {
     const auto found = forwards_.find(id);
@@ -165,6 +190,14 @@
             api_reply{to.call, http_status, content_type, body});
         return;
     }
+    if (body.size() > config::max_forwarded_answer_bytes)
+    {
+        context_.counters.count("carobcourse_answers_dropped_total",
+                                "too_large");
+        refuse(to, {result_code::outcome_unknown,
+                    "the answer is too large to be forwarded"});
+        return;
+    }
     context_.out.emplace_back(peer_send{to.peer, "forward_answer",
                                         json{{"id", to.forward},
                                              {"origin", to.origin},
--- a/src/request_service_p.hpp
+++ b/src/request_service_p.hpp
@@ -15,6 +15,7 @@
 #include "request_claims_p.hpp"
 #include "request_ledger_p.hpp"
 #include "request_queue_p.hpp"
+#include "request_rows_p.hpp"
 
 namespace carobcourse
 {
@@ -34,7 +35,8 @@
     void on_execute_result(time_point now, const execute_result& result);
     void on_store_result(time_point now, const store_result& result);
     void on_call_abandoned(const call_abandoned& call);
-    /// Handles messages of the types `forward_request` and `forward_answer`.
+    /// Handles messages of the types `forward_request`, `forward_answer` and
+    /// `executors_leaving`.
     /// Returns false for other types.
     bool on_peer(time_point now, const peer_received& message);
     /// Handles calls on services and tickets. Returns false for other paths.
@@ -126,8 +128,8 @@
     /// told "not run".
     void refuse_early(const request_record& request, const error& why);
     /// Returns nothing when the request was answered as a repeat.
-    std::optional<std::string> begin(time_point now,
-                                     const request_record& request);
+    std::optional<request_ledger::begun> begin(time_point now,
+                                               const request_record& request);
     std::optional<error> check_room(time_point now,
                                     const request_record& request) const;
     std::int64_t weight_of(const std::string& team) const;
@@ -152,6 +154,8 @@
     void on_forward_request(time_point now, const peer_received& message);
     void on_forward_answer(const peer_received& message);
     void fail_forward(std::uint64_t id);
+    void announce_leaving(time_point now);
+    void on_executors_leaving(const peer_received& message);
 
     void finish(request_record& request, const execute_result& result);
     void refuse(request_record& request, error why);
@@ -167,6 +171,7 @@
     executor_pool executors_;
     request_ledger ledger_;
     request_claims claims_;
+    request_rows rows_;
     request_queue queue_;
     std::map<std::string, request_record> requests_;
     std::map<std::string, std::size_t> waiting_; ///< By team, not in flight.
@@ -178,6 +183,8 @@
     /// Forwards of peers that are being handled: origin and number.
     std::set<std::pair<std::string, std::uint64_t>> forwarded_here_;
     std::map<std::string, service_time> service_times_;
+    std::vector<std::string> peers_; ///< Entry hosts of this data centre.
+    time_point next_announcement_;
     std::uint64_t sequence_ = 0;
     std::uint64_t forward_sequence_ = 0;
     std::uint32_t retry_credit_;
--- a/src/shell_serve.cpp
+++ b/src/shell_serve.cpp
@@ -86,8 +86,13 @@
     sigset_t set_{};
 };
 
-/// Time after the planned stop in which the last answers are written.
+/// Time after the planned stop in which calls that are still arriving are
+/// refused and messages to peers are sent.
 constexpr auto last_answers = std::chrono::milliseconds(200);
+/// Time after the planned stop in which answers are written to slow callers.
+constexpr auto last_writes = std::chrono::milliseconds(2000);
+
+constexpr auto refusals_period = std::chrono::seconds(1);
 
 class serve_process
 {
@@ -104,7 +109,8 @@
         options.port = address->second;
         server_ = std::make_unique<http_server>(
             options,
-            [this](api_call call) { return ring_.try_push(std::move(call)); });
+            [this](api_call call) { return ring_.try_push(std::move(call)); },
+            [this](call_id id) { ring_.push_promised(call_abandoned{id}); });
         const auto peer_listen = parse_address(settings.peer_listen);
         peers_ = std::make_unique<websocket_peer_link>(
             peer_link_options{settings.host, settings.cluster_secret,
@@ -145,15 +151,19 @@
             next_tick = clock_.now() + config::tick_period;
             if (signals_.take())
                 handle(stop_request{});
+            report_refusals();
             handle(timer_tick{});
         }
         write_log({log_code::stopped, ""});
         // Answers that were given to the server are still being written, and
         // calls that arrive meanwhile are refused.
         const auto end = clock_.now() + last_answers;
-        while (clock_.now() < end)
+        const auto last = clock_.now() + last_writes;
+        for (auto now = clock_.now();
+             now < end || (now < last && server_->is_writing());
+             now = clock_.now())
         {
-            for (auto& what : ring_.pop_all(end - clock_.now()))
+            for (auto& what : ring_.pop_all(config::tick_period))
                 handle(what);
         }
     }
@@ -183,6 +193,18 @@
         trace_->write_replies(out);
     }
 
+    /// At most once a second, so that a flood of bad input does not flood the
+    /// core.
+    void report_refusals()
+    {
+        if (clock_.now() < next_refusals_)
+            return;
+        next_refusals_ = clock_.now() + refusals_period;
+        auto counts = server_->take_refusals();
+        if (!counts.empty())
+            handle(input_refusals{std::move(counts)});
+    }
+
     void handle(const event& what)
     {
         const auto now = clock_.now();
@@ -254,6 +276,7 @@
     http_executor_link executors_;
     std::unique_ptr<http_server> server_;
     std::unique_ptr<websocket_peer_link> peers_;
+    time_point next_refusals_;
     bool stopped_ = false;
 };
 
--- a/src/trace.cpp
+++ b/src/trace.cpp
@@ -144,6 +144,11 @@
     return {{"type", "peer_refusals"}, {"counts", refusals.counts}};
 }
 
+json to_trace(const input_refusals& refusals)
+{
+    return {{"type", "input_refusals"}, {"counts", refusals.counts}};
+}
+
 api_call call_from_json(const json& value)
 {
     api_call call;
@@ -449,6 +454,9 @@
     if (type == "peer_refusals")
         return peer_refusals{
             value.at("counts").get<std::map<std::string, std::uint64_t>>()};
+    if (type == "input_refusals")
+        return input_refusals{
+            value.at("counts").get<std::map<std::string, std::uint64_t>>()};
     throw json::other_error::create(501, "unknown event type " + type, &value);
 }
 
--- a/tests/process_harness.hpp
+++ b/tests/process_harness.hpp
@@ -191,9 +191,9 @@
 class deployment
 {
 public:
-    deployment()
+    explicit deployment(const std::vector<std::string>& platform_options = {})
     {
-        platform_ = start_standin("platform", {});
+        platform_ = start_standin("platform", platform_options);
         platform_url_ = url_of(*platform_);
     }
 
--- a/tests/test_process_bad_input.cpp
+++ b/tests/test_process_bad_input.cpp
@@ -1,9 +1,11 @@
 #include <arpa/inet.h>
+#include <atomic>
 #include <netinet/in.h>
 #include <random>
 #include <sys/socket.h>
 
 #include "process_harness.hpp"
+#include "shell_http_server_p.hpp"
 
 using namespace carobcourse;
 using namespace carobcourse::test;
@@ -13,8 +15,9 @@
 {
 
 /// Sends raw bytes and returns what comes back until the server closes or
-/// half a second passes.
-std::string exchange(int port, const std::string& bytes)
+/// `patience` passes. Ends its side first unless `stays`.
+std::string exchange(int port, const std::string& bytes, bool stays = false,
+                     std::chrono::microseconds patience = 500ms)
 {
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
@@ -23,10 +26,11 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&address),
                     sizeof(address)) == 0);
-    const timeval timeout{0, 500000};
+    const timeval timeout{patience / 1s, (patience % 1s).count()};
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
     ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    shutdown(fd, SHUT_WR);
+    if (!stays)
+        shutdown(fd, SHUT_WR);
     std::string answer;
     char buffer[4096];
     for (;;)
@@ -45,6 +49,16 @@
     return std::stoi(url.substr(url.rfind(':') + 1));
 }
 
+bool is_refusal(const std::string& answer, const std::string& status,
+                const std::string& code)
+{
+    return answer.rfind("HTTP/1.1 " + status + " ", 0) == 0 &&
+           answer.find("\"code\":\"" + code + "\"") != std::string::npos &&
+           answer.find("\"ran\":\"not run\"") != std::string::npos;
+}
+
+constexpr auto long_patience = 30s;
+
 } // namespace
 
 TEST_CASE("bad input ends in a numbered error and the entry host serves on")
@@ -102,6 +116,69 @@
                    R"({"state":"out"})")
                   .status == 400);
     }
+    SECTION("a key that is empty or given twice")
+    {
+        // Taken for no key, the request could run twice.
+        const auto head = fmt::format("POST /v1/services/bookings/requests "
+                                      "HTTP/1.1\r\nAuthorization: Bearer {}\r\n"
+                                      "Content-Length: 1\r\n",
+                                      key);
+        for (const std::string keys :
+             {"Idempotency-Key:\r\n",
+              "Idempotency-Key: a\r\nIdempotency-Key: b\r\n"})
+        {
+            const auto answer =
+                exchange(port_of(url), head + keys + "\r\nb", true);
+            CAPTURE(answer);
+            CHECK(is_refusal(answer, "400", "CC-1001"));
+        }
+        CHECK(cell.record("north")["requests"].empty());
+    }
+    SECTION("input that is no request")
+    {
+        const std::string begin = "POST /v1/jobs HTTP/1.1\r\nHost: x\r\n";
+        const std::vector<std::string> inputs = {
+            "no request\r\n\r\n",
+            begin + "Content-Length: -1\r\n\r\n",
+            begin + "no field\r\n\r\n",
+            begin + "Long: " + std::string(20000, 'x') + "\r\n\r\n",
+            "GET /" + std::string(5000, 'x') + " HTTP/1.1\r\n\r\n",
+            begin + "Content-Length: 10\r\n\r\n{}"};
+        for (const auto& input : inputs)
+        {
+            const auto answer =
+                exchange(port_of(url), input, false, long_patience);
+            CAPTURE(input.substr(0, 60), answer);
+            CHECK(is_refusal(answer, "400", "CC-1001"));
+        }
+        // So long that the caller may see a reset before the answer.
+        auto huge = begin + "Content-Length: 9000000\r\n\r\n";
+        huge.resize(huge.size() + 9000000, 'x');
+        exchange(port_of(url), huge);
+        const auto has = [&](const std::string& line)
+        {
+            http_request request;
+            request.url = url + "/metrics";
+            request.deadline = std::chrono::steady_clock::now() + 5s;
+            return http_call(std::move(request)).body.find(line) !=
+                   std::string::npos;
+        };
+        for (const std::string line :
+             {"\"malformed\"} 3\n", "\"over_limit\"} 2\n", "\"cut_short\"} 1\n",
+              "\"body_too_large\"} 1\n"})
+        {
+            CAPTURE(line);
+            CHECK(eventually(start_timeout,
+                             [&]
+                             {
+                                 return has("carobcourse_input_refusals_total{"
+                                            "reason=" +
+                                            line);
+                             }));
+        }
+        CHECK(cell.process("north-1").output().find("CE-2505") !=
+              std::string::npos);
+    }
     SECTION("random bytes and mutated requests on the socket")
     {
         std::mt19937 random(42);
@@ -122,3 +199,39 @@
     }
     CHECK(call(url, "GET", "/readyz").status == 200);
 }
+
+TEST_CASE("a request that arrives too slowly gets a numbered error")
+{
+    // Guards against a bare close, which a caller can not tell from a crash,
+    // and against counting connections that are merely idle.
+    http_server_options options;
+    options.address = "127.0.0.1";
+    options.idle_timeout = 300ms;
+    http_server server(options, [](const api_call&) { return true; });
+    const auto answer =
+        exchange(server.port(), "POST /v1/jobs HTTP/1.1\r\nHost: x\r\n", true,
+                 long_patience);
+    CAPTURE(answer);
+    CHECK(is_refusal(answer, "408", "CC-1008"));
+    CHECK(exchange(server.port(), "", true, long_patience).empty());
+    const std::map<std::string, std::uint64_t> expected{{"too_slow", 1}};
+    CHECK(server.take_refusals() == expected);
+}
+
+TEST_CASE("bad input behind a request is not answered in place of it")
+{
+    // Guards against an error that says "not run" and is taken for the answer
+    // to the request before it, which runs (I6, I7).
+    std::atomic<int> taken{0};
+    std::atomic<int> abandoned{0};
+    http_server server(
+        {"127.0.0.1", 0}, [&](const api_call&) { return ++taken > 0; },
+        [&](call_id) { ++abandoned; });
+    CHECK(exchange(server.port(),
+                   "POST /x HTTP/1.1\r\nContent-Length: 1\r\n\r\nb"
+                   "no request\r\n\r\n",
+                   true, long_patience)
+              .empty());
+    CHECK(taken == 1);
+    CHECK(eventually(start_timeout, [&] { return abandoned == 1; }));
+}
--- a/tests/test_request_once.cpp
+++ b/tests/test_request_once.cpp
@@ -269,3 +269,20 @@
     CHECK(fake_cell::error_code(unused) == "CC-1103");
     CHECK(cell.wait(slow).http_status != 0);
 }
+
+TEST_CASE("an answer too large for a link is told as unknown, not lost")
+{
+    // Guards against a frame over the limit: it would end the link, and the
+    // caller would wait until its deadline.
+    request_cell cell(21, 2);
+    const auto ticket = cell.ticket("north-1");
+    const std::string body(config::max_forwarded_answer_bytes + 1, 'x');
+    const auto asked_at = cell.now();
+    const auto forwarded =
+        cell.wait(cell.request("north-2", body, {ticket, 20000}));
+    CHECK(fake_cell::error_code(forwarded) == "CC-1302");
+    CHECK(cell.now() - asked_at < 5s);
+    const auto own = cell.wait(cell.request("north-1", body, {ticket}));
+    CHECK(own.http_status == 200);
+    CHECK(cell.runs_of(body) == 1);
+}
--- a/tests/test_request_path.cpp
+++ b/tests/test_request_path.cpp
@@ -189,6 +189,23 @@
               "carobcourse_calls_abandoned_total") == 2);
 }
 
+TEST_CASE("a host without load learns that a backend server leaves")
+{
+    // Guards against a first request to a server that told only another entry
+    // host that it leaves, long after the bound of 5 s (I9).
+    request_cell cell(31, 2, 2);
+    cell.executor_faults["e1"].leaving = true;
+    for (int i = 0; i < 20; ++i)
+        cell.wait(cell.request("north-1", "first"));
+    REQUIRE(cell.executions.size() == 20);
+    cell.run_for(5s);
+    const auto before = cell.executions.size();
+    for (int i = 0; i < 20; ++i)
+        CHECK(cell.wait(cell.request("north-2", "second")).http_status == 200);
+    for (auto i = before; i < cell.executions.size(); ++i)
+        CHECK(cell.executions[i].executor == "e2");
+}
+
 TEST_CASE("a planned stop cuts no accepted request")
 {
     // Guards against a stop that loses what is queued or in flight (I10).
