--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -187,6 +187,7 @@
     return {{"epoch", message.epoch},
             {"owner", message.owner},
             {"lease_ms", message.lease_ms},
+            {"start_ms", message.start_ms},
             {"token", message.token},
             {"starts", list_to_json(message.starts)},
             {"stops", list_to_json(message.stops)},
@@ -200,6 +201,7 @@
     message.owner = value.at("owner").get<std::string>();
     message.token = value.at("token").get<std::uint64_t>();
     message.lease_ms = value.at("lease_ms").get<std::int64_t>();
+    message.start_ms = value.at("start_ms").get<std::int64_t>();
     for (const auto& item : value.at("starts"))
         message.starts.push_back(start_from_json(item));
     for (const auto& item : value.at("stops"))
--- a/src/config_changes.cpp
+++ b/src/config_changes.cpp
@@ -6,6 +6,7 @@
 
 #include "allotment_p.hpp"
 #include "config_service_p.hpp"
+#include "config_tables_p.hpp"
 
 namespace carobcourse
 {
@@ -14,12 +15,8 @@
 {
 
 using json = nlohmann::json;
+using namespace config_tables;
 
-constexpr char entries_table[] = "config";
-constexpr char log_table[] = "config_log";
-constexpr char head_table[] = "config_head";
-constexpr char head_key[] = "head";
-constexpr char member_table[] = "member";
 constexpr std::size_t max_pending_changes = 256;
 /// A change whose commit lost to changes of other entries is sent again so
 /// many times.
@@ -29,11 +26,6 @@
 constexpr auto settle_retry = std::chrono::milliseconds(200);
 constexpr auto settle_at_once = std::chrono::milliseconds(0);
 
-std::string log_key(std::uint64_t version)
-{
-    return fmt::format("{:020}", version);
-}
-
 std::optional<std::string> tail_after(const std::string& path,
                                       const std::string& prefix)
 {
--- a/src/config_service.cpp
+++ b/src/config_service.cpp
@@ -1,4 +1,5 @@
 #include "config_service_p.hpp"
+#include "config_tables_p.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -11,18 +12,10 @@
 {
 
 using json = nlohmann::json;
+using namespace config_tables;
 
-constexpr char entries_table[] = "config";
-constexpr char log_table[] = "config_log";
-constexpr char head_table[] = "config_head";
-constexpr char head_key[] = "head";
 constexpr std::size_t entry_scan_limit = 100000;
 
-std::string log_key(std::uint64_t version)
-{
-    return fmt::format("{:020}", version);
-}
-
 } // namespace
 
 config_service::config_service(core_context& context) : context_(context) {}
--- a/src/event_p.hpp
+++ b/src/event_p.hpp
@@ -203,6 +203,9 @@
     /// counts from the issue of the token.
     std::uint64_t token = 0;
     std::int64_t lease_ms = 0;
+    /// Starts are taken for so long after the issue of the token; a later one
+    /// was held back on the way.
+    std::int64_t start_ms = 0;
     time_point send_before; ///< Not sent when this has passed.
     std::vector<start_task> starts;
     std::vector<stop_task> stops;
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -1,5 +1,7 @@
 #include "membership_p.hpp"
 
+#include "config_tables_p.hpp"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -11,9 +13,9 @@
 {
 
 using json = nlohmann::json;
+using config_tables::member_table;
 using std::chrono::milliseconds;
 
-constexpr char member_table[] = "member";
 constexpr std::size_t member_scan_limit = 10000;
 constexpr auto announce_period = milliseconds(200);
 constexpr auto request_period = milliseconds(500);
--- a/src/shard_calls.cpp
+++ b/src/shard_calls.cpp
@@ -6,6 +6,7 @@
 
 #include "job_tables_p.hpp"
 #include "shard_set_p.hpp"
+#include "text_p.hpp"
 
 namespace carobcourse
 {
@@ -15,13 +16,6 @@
 
 using json = nlohmann::json;
 
-bool ends_with(const std::string& text, const std::string& suffix)
-{
-    return text.size() >= suffix.size() &&
-           text.compare(text.size() - suffix.size(), suffix.size(), suffix) ==
-               0;
-}
-
 /// Order of free capacity: accelerators are scarcest, then processors.
 auto to_key(const resources& free)
 {
--- a/src/shard_scheduler.cpp
+++ b/src/shard_scheduler.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "job_tables_p.hpp"
+#include "text_p.hpp"
 
 namespace carobcourse
 {
@@ -25,13 +26,6 @@
 /// A planned stop waits so long for the table to take the last progress.
 constexpr auto stop_flush_bound = std::chrono::seconds(5);
 
-bool ends_with(const std::string& text, const std::string& suffix)
-{
-    return text.size() >= suffix.size() &&
-           text.compare(text.size() - suffix.size(), suffix.size(), suffix) ==
-               0;
-}
-
 } // namespace
 
 shard_scheduler::shard_scheduler(core_context& context,
--- a/src/worker_book.cpp
+++ b/src/worker_book.cpp
@@ -23,7 +23,7 @@
 
 /// Freshness lasts 4 s and a start must not arrive later than 5 s after a
 /// change; the rest is for the way to the worker.
-constexpr auto start_send_bound = std::chrono::milliseconds(800);
+constexpr auto start_bound = std::chrono::milliseconds(800);
 constexpr auto sync_retry_pause = std::chrono::milliseconds(200);
 
 /// Longest time for which an owner may have granted a lease, plus drift.
@@ -304,10 +304,15 @@
     if (may_start && !worker.starts.empty())
     {
         // The configuration was fresh when the start was decided; this bound
-        // keeps a start that is held back in the process from arriving more
-        // than 5 s after a change (I5).
-        message.send_before =
-            std::min(message.send_before, now + duration(start_send_bound));
+        // keeps a start that is held back, in the process or on the way, from
+        // being taken more than 5 s after a change (I5). The worker counts
+        // from the issue of the token, which was before its receipt here.
+        const auto start_before = now + duration(start_bound);
+        message.send_before = std::min(message.send_before, start_before);
+        message.start_ms =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                start_before - worker.token_at)
+                .count();
         worker.sent_starts = std::exchange(worker.starts, {});
         for (const auto& start : worker.sent_starts)
             worker.attempts[start.attempt].sent = true;
--- a/tests/recovery_cell.hpp
+++ b/tests/recovery_cell.hpp
@@ -73,6 +73,18 @@
         return cell.run_until(most,
                               [&] { return cell.count_starts(job) >= count; });
     }
+    /// When the first task of the job ended on its worker.
+    time_point end_of(const std::string& job)
+    {
+        for (const auto& item : cell.task_record())
+        {
+            if (item["what"] == "end" && item["attempt"]["job"] == job)
+                return time_point(
+                    std::chrono::milliseconds(item["at_ms"].get<long>()));
+        }
+        FAIL("job " << job << " has not ended");
+        return {};
+    }
     std::string worker_of(const std::string& job)
     {
         for (const auto& item : cell.task_record())
--- a/tests/test_recovery_clocks.cpp
+++ b/tests/test_recovery_clocks.cpp
@@ -92,9 +92,9 @@
 {
     // Guards against a task in two places (I2) or a worker over its capacity
     // (I1) when the owner is paused through its lease, its last messages
-    // arrive late, another host takes over, and one host runs fast and the
-    // other slow. The workers' own check of capacity is off, so that the
-    // owner's record is judged.
+    // arrive late and another host takes over, with clocks of hosts and
+    // workers that differ in rate. The workers' own check of capacity is off,
+    // so that the owner's record is judged.
     for (const auto& rate : tolerated)
     {
         for (std::uint64_t seed = 311; seed < 317; ++seed)
--- a/tests/test_worker_book.cpp
+++ b/tests/test_worker_book.cpp
@@ -389,3 +389,31 @@
     it.pass(3s);
     CHECK(it.takes_work());
 }
+
+TEST_CASE("a start that is held back on its way is not taken")
+{
+    // Guards against a task that starts long after its data centre was taken
+    // out, because a sync with a valid token arrived late (I5).
+    const attempt_id attempt{{"j", 0}, 1};
+    for (const auto delay : {duration(700ms), duration(900ms), duration(20s)})
+    {
+        bench b;
+        b.now += 1s; // The token is older than the start.
+        b.start(attempt, {1000, 100, 0});
+        const auto message = b.take_sync();
+        REQUIRE(message);
+        REQUIRE(message->starts.size() == 1);
+        b.now += delay;
+        const auto news = b.answer(*message);
+        CAPTURE(delay.count());
+        if (delay < 800ms)
+        {
+            CHECK(b.worker.record().size() == 1);
+            continue;
+        }
+        CHECK(b.worker.record().empty());
+        REQUIRE(news.size() == 1);
+        CHECK(news[0].what == attempt_news::kind::refused);
+        CHECK(news[0].detail == "the start is late");
+    }
+}
--- a/tools/standin_p.hpp
+++ b/tools/standin_p.hpp
@@ -94,8 +94,8 @@
 
     void take(steady::time_point now, const worker_sync& message,
               sync_reply& reply);
-    void start(steady::time_point now, const start_task& start,
-               sync_reply& reply);
+    void start(steady::time_point now, steady::time_point start_until,
+               const start_task& start, sync_reply& reply);
     void stop(steady::time_point now, const stop_task& stop);
     void end(steady::time_point now, const attempt_id& attempt,
              task_outcome outcome, const std::string& detail);
--- a/tools/standin_worker.cpp
+++ b/tools/standin_worker.cpp
@@ -64,12 +64,14 @@
         finished_.erase(ack);
     for (const auto& each : message.stops)
         stop(now, each);
+    const auto start_until =
+        token_issued_ + std::chrono::milliseconds(message.start_ms);
     for (const auto& each : message.starts)
-        start(now, each, reply);
+        start(now, start_until, each, reply);
 }
 
-void worker::start(steady::time_point now, const start_task& start,
-                   sync_reply& reply)
+void worker::start(steady::time_point now, steady::time_point start_until,
+                   const start_task& start, sync_reply& reply)
 {
     if (running_.count(start.attempt) || finished_.count(start.attempt))
         return; // Taken before; the reply was lost.
@@ -84,6 +86,8 @@
         return refuse("another attempt of the task runs here");
     if (now >= lease_until_)
         return refuse("the lease is over");
+    if (now >= start_until)
+        return refuse("the start is late");
     if (checks_capacity_ && !start.amount.fits_in(capacity_ - used()))
         return refuse("no room");
     task started;
