--- a/src/placement_p.hpp
+++ b/src/placement_p.hpp
@@ -1,6 +1,7 @@
 /// Free capacity of a shard's workers, indexed for placement.
 #pragma once
 
+#include <array>
 #include <carobcourse/types.hpp>
 #include <map>
 #include <optional>
@@ -141,7 +142,7 @@
                const std::map<rack_handle, std::uint32_t>& racks_used) const;
 
     std::vector<resources> free_of_; ///< By handle.
-    placement_tree trees_[accelerator_classes];
+    std::array<placement_tree, accelerator_classes> trees_;
     std::vector<worker_record> workers_;
     std::vector<worker_handle> unused_;
     std::unordered_map<std::string, worker_handle> names_;
--- a/tests/test_job_commits.cpp
+++ b/tests/test_job_commits.cpp
@@ -91,7 +91,7 @@
     host.cell.run_for(10s);
     // One try each 200 ms, and renewals of ownership.
     CHECK(host.cell.store_writes - before <= 60);
-    host.cell.store.max_commit_bytes = 1024 * 1024;
+    host.cell.store.max_commit_bytes = std::size_t{1024} * 1024;
     host.cell.run_for(5s);
     CHECK(host.running_in_table("j") == 100);
 }
