Let the fake table refuse large commits again; test the bound of a commit

The lines are back. A new case lets 64 jobs with 60 KB of payload change while the table is down, so that one commit would hold them all.

No earlier check changed.

--- a/tests/core_harness.hpp
+++ b/tests/core_harness.hpp
@@ -722,14 +722,17 @@
 
     void carry_out(const std::string& id, const store_commit& operation)
     {
-        store_operation(id, operation, true,
-                        [this, body = commit_body(operation), op = operation.op]
-                        {
-                            const auto answer = table_.commit(body);
-                            if (answer.status == 200)
-                                note_changes(body["ops"]);
-                            return commit_result(op, answer);
-                        });
+        store_operation(
+            id, operation, true,
+            [this, body = commit_body(operation), op = operation.op]
+            {
+                if (body.dump().size() > store.max_commit_bytes)
+                    return store_result{op, store.too_large, 0, {}, {}};
+                const auto answer = table_.commit(body);
+                if (answer.status == 200)
+                    note_changes(body["ops"]);
+                return commit_result(op, answer);
+            });
     }
 
     void carry_out(const std::string& id, const store_read& operation)
--- a/tests/test_job_commits.cpp
+++ b/tests/test_job_commits.cpp
@@ -32,18 +32,28 @@
             .http_status;
     }
 
-    int running_in_table(const std::string& job)
+    std::vector<task_record> tasks_in_table(const std::string& job)
     {
         const auto row = cell.table().read("jobs", "north.0/" + job);
         if (row.status != 200)
-            return 0;
-        const auto record =
-            job_record_from_json(row.body["row"]["value"].get<std::string>());
+            return {};
+        return job_record_from_json(row.body["row"]["value"].get<std::string>())
+            ->tasks;
+    }
+    int running_in_table(const std::string& job)
+    {
+        const auto tasks = tasks_in_table(job);
         return static_cast<int>(
-            std::count_if(record->tasks.begin(), record->tasks.end(),
+            std::count_if(tasks.begin(), tasks.end(),
                           [](const auto& task)
                           { return task.state == task_state::running; }));
     }
+    /// Attempt of the job's first task, 0 when there is none.
+    std::uint32_t attempt_in_table(const std::string& job)
+    {
+        const auto tasks = tasks_in_table(job);
+        return tasks.empty() ? 0 : tasks.front().attempt;
+    }
 
     fake_cell cell;
     std::string key;
@@ -66,6 +76,34 @@
     }
 }
 
+TEST_CASE("a backlog of an outage is written in commits that fit")
+{
+    // Guards against one commit of all jobs that changed while the table was
+    // down: 64 rows of 60 KB are refused as a whole, every time.
+    one_host host(74);
+    constexpr int jobs = 64;
+    const json payload = std::string(60000, 'x');
+    for (int i = 0; i < jobs; ++i)
+        REQUIRE(host.submit("j" + std::to_string(i), 2, payload) == 202);
+    host.cell.run_for(5s);
+    host.cell.store.down = true;
+    for (int i = 0; i < jobs; ++i)
+        REQUIRE(host.running_in_table("j" + std::to_string(i)) == 2);
+    // The worker loses its tasks, so that each job changes.
+    host.cell.worker_faults["w1"].cut = true;
+    host.cell.run_for(35s);
+    host.cell.worker_faults["w1"].cut = false;
+    host.cell.run_for(5s);
+    host.cell.store.down = false;
+    host.cell.run_for(10s);
+    for (int i = 0; i < jobs; ++i)
+    {
+        CAPTURE(i);
+        CHECK(host.attempt_in_table("j" + std::to_string(i)) == 2);
+        CHECK(host.running_in_table("j" + std::to_string(i)) == 2);
+    }
+}
+
 TEST_CASE("the largest job fits in a commit, a larger one is refused")
 {
     // Guards against an accepted job that can not be written.
