Let one piece of code serve what stood twice

Chronological task records stood in three test files, rows of a read's answer in three, listening on loopback twice in one: fake_cell's sorted_task_record, read_result beside commit_result, and listen_on_loopback serve them. text_of moves to the peer codec, whose frames both of its users read, and the name of the idempotency table stands beside the claims that insert into it.

No check changed.

--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -1,11 +1,12 @@
 #include "membership_p.hpp"
 
-#include "config_tables_p.hpp"
-
 #include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "config_tables_p.hpp"
+#include "peer_codec_p.hpp"
+
 namespace carobcourse
 {
 
@@ -24,13 +25,6 @@
 constexpr std::size_t sent_kept = 64;
 constexpr std::size_t replaced_kept = 8;
 
-std::string text_of(const json& body, const char* name)
-{
-    const auto found = body.find(name);
-    return found != body.end() && found->is_string() ? found->get<std::string>()
-                                                     : std::string();
-}
-
 /// Returns 0 when the number is absent, negative or no whole number.
 std::uint64_t number_of(const json& body, const char* name)
 {
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -153,6 +153,13 @@
                       renamed(long_fields, frame["body"])};
 }
 
+std::string text_of(const json& body, const char* name)
+{
+    const auto found = body.find(name);
+    return found != body.end() && found->is_string() ? found->get<std::string>()
+                                                     : std::string();
+}
+
 std::string peer_proof(const std::string& secret, const std::string& role,
                        const std::string& dialler, const std::string& acceptor,
                        const std::string& dialler_nonce,
--- a/src/peer_codec_p.hpp
+++ b/src/peer_codec_p.hpp
@@ -26,6 +26,10 @@
 tl::expected<peer_frame, std::string>
 decode_peer_frame(const std::string& bytes);
 
+/// Text member of a frame's body; empty when it is absent or no text. Thread
+/// safe.
+std::string text_of(const nlohmann::json& body, const char* name);
+
 /// MAC that proves knowledge of the cluster secret. The role and both names
 /// are part of it, so a MAC of one side can not be reflected as that of the
 /// other. Thread safe.
--- a/src/request_claims.cpp
+++ b/src/request_claims.cpp
@@ -11,8 +11,6 @@
 
 using json = nlohmann::json;
 
-constexpr char table[] = "idempotency";
-
 } // namespace
 
 request_claims::request_claims(core_context& context) : context_(context) {}
@@ -32,7 +30,7 @@
     {
         auto& claim = waiting_.front();
         commit.writes.push_back(
-            {table, claim.key, claim.expect,
+            {idempotency_table, claim.key, claim.expect,
              json{{"host", context_.identity.host},
                   {"incarnation", context_.identity.incarnation},
                   {"claim", claim.claim},
@@ -103,7 +101,7 @@
 {
     const auto op = context_.next_op(component::requests);
     reads_.emplace(op, claim);
-    context_.out.emplace_back(store_read{op, table, claim.key});
+    context_.out.emplace_back(store_read{op, idempotency_table, claim.key});
 }
 
 std::optional<claim_outcome> request_claims::on_read(const store_result& result,
--- a/src/request_claims_p.hpp
+++ b/src/request_claims_p.hpp
@@ -14,6 +14,9 @@
 namespace carobcourse
 {
 
+/// Inserted idempotency keys, <team>/<key>.
+constexpr char idempotency_table[] = "idempotency";
+
 struct request_claim
 {
     std::string request;
--- a/src/request_rows.cpp
+++ b/src/request_rows.cpp
@@ -2,14 +2,14 @@
 
 #include <utility>
 
+#include "request_claims_p.hpp"
+
 namespace carobcourse
 {
 
 namespace
 {
 
-constexpr char table[] = "idempotency";
-
 /// The host that accepted a request may measure its deadline on a slower clock.
 constexpr duration age =
     config::idempotency_row_age +
@@ -77,7 +77,8 @@
     while (!over_.empty() && batch_.size() < config::claim_batch)
     {
         const auto& row = over_.front();
-        commit.writes.push_back({table, row.key, row.version, std::nullopt});
+        commit.writes.push_back(
+            {idempotency_table, row.key, row.version, std::nullopt});
         batch_.push_back(std::move(over_.front()));
         over_.pop_front();
     }
@@ -112,7 +113,7 @@
     next_scan_ = now + config::row_scan_period;
     store_scan scan;
     scan.op = context_.next_op(component::requests);
-    scan.table = table;
+    scan.table = idempotency_table;
     scan.after = after_;
     scan.limit = config::row_scan_page;
     scan_ = scan.op;
--- a/src/shell_peer_link.cpp
+++ b/src/shell_peer_link.cpp
@@ -33,13 +33,6 @@
 constexpr auto drain_retry_period = std::chrono::milliseconds(10);
 constexpr auto close_timeout = std::chrono::milliseconds(1000);
 
-std::string text_of(const json& body, const char* name)
-{
-    const auto found = body.find(name);
-    return found != body.end() && found->is_string() ? found->get<std::string>()
-                                                     : std::string();
-}
-
 long milliseconds_of(std::chrono::milliseconds value)
 {
     return static_cast<long>(value.count());
--- a/tests/core_harness.hpp
+++ b/tests/core_harness.hpp
@@ -75,6 +75,28 @@
     return result;
 }
 
+/// Rows of the answer of the table service to a read or a scan.
+inline store_result read_result(const op_id& op,
+                                const standin::response& answer)
+{
+    store_result result;
+    result.op = op;
+    result.status = store_status::ok;
+    const auto add = [&](const json& item)
+    {
+        result.rows.push_back(
+            {item.at("key"), item.at("version"), item.at("value")});
+    };
+    if (answer.body.contains("row"))
+        add(answer.body["row"]);
+    if (answer.body.contains("rows"))
+    {
+        for (const auto& item : answer.body["rows"])
+            add(item);
+    }
+    return result;
+}
+
 /// How the table service behaves at present.
 struct store_fault
 {
@@ -461,13 +483,11 @@
         return all;
     }
 
-    /// Tasks that ran in two places at once, as printed text.
-    std::vector<std::string> overlapping_tasks()
+    /// The record by time. An end comes before a start of the same
+    /// millisecond, as the two do not overlap.
+    json sorted_task_record()
     {
-        std::vector<std::string> found;
-        std::map<std::string, int> running;
         auto record = task_record();
-        // An end and a start in the same millisecond do not overlap.
         std::stable_sort(record.begin(), record.end(),
                          [](const json& a, const json& b)
                          {
@@ -476,7 +496,15 @@
                                     std::make_tuple(b["at_ms"].get<long>(),
                                                     b["what"] == "start");
                          });
-        for (const auto& item : record)
+        return record;
+    }
+
+    /// Tasks that ran in two places at once, as printed text.
+    std::vector<std::string> overlapping_tasks()
+    {
+        std::vector<std::string> found;
+        std::map<std::string, int> running;
+        for (const auto& item : sorted_task_record())
         {
             const auto task =
                 fmt::format("{}/{}", item["attempt"]["job"].get<std::string>(),
@@ -699,13 +727,6 @@
            });
     }
 
-    static row to_row(const json& value)
-    {
-        return row{value.at("key").get<std::string>(),
-                   value.at("version").get<std::uint64_t>(),
-                   value.at("value").get<std::string>()};
-    }
-
     void note_changes(const json& ops)
     {
         for (const auto& op : ops)
@@ -737,18 +758,13 @@
 
     void carry_out(const std::string& id, const store_read& operation)
     {
-        store_operation(
-            id, operation, false,
-            [this, operation]
-            {
-                const auto answer = table_.read(operation.table, operation.key);
-                store_result result;
-                result.op = operation.op;
-                result.status = store_status::ok;
-                if (answer.status == 200)
-                    result.rows.push_back(to_row(answer.body["row"]));
-                return result;
-            });
+        store_operation(id, operation, false,
+                        [this, operation]
+                        {
+                            return read_result(
+                                operation.op,
+                                table_.read(operation.table, operation.key));
+                        });
     }
 
     void carry_out(const std::string& id, const store_scan& operation)
@@ -756,15 +772,10 @@
         store_operation(id, operation, false,
                         [this, operation]
                         {
-                            const auto answer =
+                            return read_result(
+                                operation.op,
                                 table_.scan(operation.table, operation.prefix,
-                                            operation.after, operation.limit);
-                            store_result result;
-                            result.op = operation.op;
-                            result.status = store_status::ok;
-                            for (const auto& item : answer.body["rows"])
-                                result.rows.push_back(to_row(item));
-                            return result;
+                                            operation.after, operation.limit));
                         });
     }
 
--- a/tests/test_allotment.cpp
+++ b/tests/test_allotment.cpp
@@ -306,24 +306,6 @@
            });
     }
 
-    static store_result read_result(const op_id& op,
-                                    const standin::response& answered)
-    {
-        store_result result;
-        result.op = op;
-        result.status = store_status::ok;
-        const auto add = [&](const json& item) {
-            result.rows.push_back(
-                {item["key"], item["version"], item["value"]});
-        };
-        if (answered.body.contains("row"))
-            add(answered.body["row"]);
-        if (answered.body.contains("rows"))
-            for (const auto& item : answered.body["rows"])
-                add(item);
-        return result;
-    }
-
     void answer(const std::string& name, const shard& each, const op_id& op,
                 const standin::response& answered)
     {
--- a/tests/test_config_changes.cpp
+++ b/tests/test_config_changes.cpp
@@ -76,19 +76,7 @@
 
     void answer(const op_id& op, const standin::response& found)
     {
-        store_result result;
-        result.op = op;
-        result.status = store_status::ok;
-        const auto add = [&](const json& item) {
-            result.rows.push_back(
-                {item["key"], item["version"], item["value"]});
-        };
-        if (found.body.contains("row"))
-            add(found.body["row"]);
-        if (found.body.contains("rows"))
-            for (const auto& item : found.body["rows"])
-                add(item);
-        take(core.handle(now, result));
+        take(core.handle(now, read_result(op, found)));
     }
 
     /// Executes a commit; the reply may be lost.
--- a/tests/test_process_requests.cpp
+++ b/tests/test_process_requests.cpp
@@ -103,6 +103,22 @@
     std::vector<std::thread> threads_;
 };
 
+/// Makes a new socket listen and returns its port.
+int listen_on_loopback(int listener)
+{
+    constexpr int backlog = 64;
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    if (listener < 0 || bind(listener, generic, length) != 0 ||
+        listen(listener, backlog) != 0 ||
+        getsockname(listener, generic, &length) != 0)
+        throw std::runtime_error("can not listen");
+    return ntohs(address.sin_port);
+}
+
 /// Accepts connections one after the other. It answers the first request of
 /// a connection; with the second it closes the connection unanswered.
 class closing_server
@@ -110,16 +126,7 @@
 public:
     closing_server() : listener_(socket(AF_INET, SOCK_STREAM, 0))
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(address);
-        auto* generic = reinterpret_cast<sockaddr*>(&address);
-        if (listener_ < 0 || bind(listener_, generic, length) != 0 ||
-            listen(listener_, 16) != 0 ||
-            getsockname(listener_, generic, &length) != 0)
-            throw std::runtime_error("can not listen");
-        port_ = ntohs(address.sin_port);
+        port_ = listen_on_loopback(listener_);
         thread_ = std::thread([this] { run(); });
     }
     ~closing_server()
@@ -235,16 +242,7 @@
     explicit raw_server(handler handle)
         : handle_(std::move(handle)), listener_(socket(AF_INET, SOCK_STREAM, 0))
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(address);
-        auto* generic = reinterpret_cast<sockaddr*>(&address);
-        if (listener_ < 0 || bind(listener_, generic, length) != 0 ||
-            listen(listener_, 64) != 0 ||
-            getsockname(listener_, generic, &length) != 0)
-            throw std::runtime_error("can not listen");
-        port_ = ntohs(address.sin_port);
+        port_ = listen_on_loopback(listener_);
         accepter_ = std::thread([this] { run(); });
     }
     ~raw_server()
--- a/tests/test_recovery_limits.cpp
+++ b/tests/test_recovery_limits.cpp
@@ -46,19 +46,9 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(
                 since.time_since_epoch())
                 .count();
-        auto record = cell.task_record();
-        // An end and a start in the same millisecond may be in either order.
-        std::stable_sort(record.begin(), record.end(),
-                         [](const json& a, const json& b)
-                         {
-                             return std::make_tuple(a["at_ms"].get<long>(),
-                                                    a["what"] == "start") <
-                                    std::make_tuple(b["at_ms"].get<long>(),
-                                                    b["what"] == "start");
-                         });
         int running = 0;
         int most = 0;
-        for (const auto& item : record)
+        for (const auto& item : cell.sorted_task_record())
         {
             if (item["attempt"]["job"] == other_job)
                 continue;
--- a/tests/test_recovery_random.cpp
+++ b/tests/test_recovery_random.cpp
@@ -17,16 +17,7 @@
 {
     std::vector<std::string> found;
     std::map<std::string, std::int64_t> used;
-    auto record = cell.task_record();
-    std::stable_sort(record.begin(), record.end(),
-                     [](const json& a, const json& b)
-                     {
-                         return std::make_tuple(a["at_ms"].get<long>(),
-                                                a["what"] == "start") <
-                                std::make_tuple(b["at_ms"].get<long>(),
-                                                b["what"] == "start");
-                     });
-    for (const auto& item : record)
+    for (const auto& item : cell.sorted_task_record())
     {
         auto& sum = used[item["worker"].get<std::string>()];
         sum += item["what"] == "start" ? 1000 : -1000;
