--- a/include/carobcourse/result_code.hpp
+++ b/include/carobcourse/result_code.hpp
@@ -55,6 +55,7 @@
       "the outcome of the write is unknown")                                   \
     X(shards_unconfirmed, 1205, 503, not_run,                                  \
       "the number of shards is not confirmed for this host")                   \
+    X(owner_unknown, 1206, 503, not_run, "no owner of the cell is known")      \
     X(request_in_progress, 1301, 409, not_applicable,                          \
       "a request with this idempotency key is in progress")                    \
     X(outcome_unknown, 1302, 504, unknown,                                     \
@@ -67,6 +68,7 @@
     X(job_unrunnable, 1402, 422, not_run,                                      \
       "no host could ever hold a task of this job")                            \
     X(job_finished, 1403, 409, not_applicable, "the job has ended")            \
+    X(job_unknown, 1404, 410, not_applicable, "no job with this id exists")    \
     X(version_conflict, 1501, 409, not_run,                                    \
       "the change is based on an older version")                               \
     X(no_change, 1502, 200, not_applicable, "nothing to change")               \
--- /dev/null
+++ b/src/cell_codec.cpp
@@ -0,0 +1,210 @@
+#include "cell_codec_p.hpp"
+
+namespace carobcourse
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+/// Writes members that differ from their default only: most are rare.
+template <class Value>
+void put(json& object, const char* name, const Value& value)
+{
+    if (!(value == Value{}))
+        object[name] = value;
+}
+
+json amount_to_json(const resources& amount)
+{
+    return json::array(
+        {amount.cpu_millis, amount.memory_mb, amount.accelerators});
+}
+
+resources amount_from_json(const json& value)
+{
+    return {value.at(0).get<std::int64_t>(), value.at(1).get<std::int64_t>(),
+            value.at(2).get<std::int64_t>()};
+}
+
+json task_to_json(const cell_task_id& task)
+{
+    return json::array({task.job, task.occurrence, task.step, task.index});
+}
+
+cell_task_id task_from_json(const json& value)
+{
+    return {value.at(0).get<std::string>(), value.at(1).get<std::uint32_t>(),
+            value.at(2).get<std::uint32_t>(), value.at(3).get<std::uint32_t>()};
+}
+
+json step_to_json(const step_spec& step)
+{
+    json value{{"n", step.count}, {"a", amount_to_json(step.amount)}};
+    put(value, "ms", step.estimate_ms);
+    if (!step.after.empty())
+        value["after"] = step.after;
+    put(value, "gang", step.gang);
+    put(value, "same_rack", step.same_rack);
+    put(value, "label", step.label);
+    put(value, "data_rack", step.data_rack);
+    put(value, "per_worker", step.max_per_worker);
+    put(value, "speculative", step.speculative);
+    put(value, "checkpoints", step.checkpoints);
+    put(value, "long_running", step.long_running);
+    put(value, "image", step.image);
+    put(value, "target_ms", step.target_ms);
+    put(value, "fills", step.fills);
+    put(value, "may_miss", step.may_miss);
+    return value;
+}
+
+step_spec step_from_json(const json& value)
+{
+    step_spec step;
+    step.count = value.at("n").get<std::uint32_t>();
+    step.amount = amount_from_json(value.at("a"));
+    step.estimate_ms = value.value("ms", std::int64_t{0});
+    if (value.contains("after"))
+        step.after = value["after"].get<std::vector<std::uint32_t>>();
+    step.gang = value.value("gang", false);
+    step.same_rack = value.value("same_rack", false);
+    step.label = value.value("label", std::string());
+    step.data_rack = value.value("data_rack", std::string());
+    step.max_per_worker = value.value("per_worker", 0U);
+    step.speculative = value.value("speculative", false);
+    step.checkpoints = value.value("checkpoints", false);
+    step.long_running = value.value("long_running", false);
+    step.image = value.value("image", std::string());
+    step.target_ms = value.value("target_ms", std::int64_t{0});
+    step.fills = value.value("fills", false);
+    step.may_miss = value.value("may_miss", 0U);
+    return step;
+}
+
+} // namespace
+
+json to_json(const work_spec& work)
+{
+    json steps = json::array();
+    for (const auto& step : work.steps)
+        steps.push_back(step_to_json(step));
+    json value{{"p", work.payload}, {"s", steps}};
+    put(value, "times", work.occurrences);
+    put(value, "first", work.first_due_ms);
+    put(value, "every", work.interval_ms);
+    return value;
+}
+
+work_spec work_from_json(const json& value)
+{
+    work_spec work;
+    work.payload = value.at("p").get<std::string>();
+    for (const auto& step : value.at("s"))
+        work.steps.push_back(step_from_json(step));
+    work.occurrences = value.value("times", 0U);
+    work.first_due_ms = value.value("first", std::int64_t{0});
+    work.interval_ms = value.value("every", std::int64_t{0});
+    return work;
+}
+
+json to_json(const worker_call& call)
+{
+    json value{{"i", call.id},
+               {"o", static_cast<int>(call.order)},
+               {"to", call.timeout_ms}};
+    put(value, "w", call.worker);
+    put(value, "a", call.address);
+    put(value, "e", call.epoch);
+    if (!call.task.job.empty())
+        value["t"] = task_to_json(call.task);
+    put(value, "r", call.run);
+    put(value, "p", call.payload);
+    put(value, "c", call.checkpoint);
+    put(value, "k", call.ticket);
+    put(value, "l", call.lease_until_ms);
+    put(value, "n", call.acked_end);
+    put(value, "m", call.wait_ms);
+    if (call.percent != 100)
+        value["pc"] = call.percent;
+    if (!call.workers.empty())
+        value["ws"] = call.workers;
+    return value;
+}
+
+worker_call worker_call_from_json(const json& value)
+{
+    worker_call call;
+    call.id = value.at("i").get<std::uint64_t>();
+    call.order = static_cast<worker_order>(value.at("o").get<int>());
+    call.timeout_ms = value.at("to").get<std::int64_t>();
+    call.worker = value.value("w", std::string());
+    call.address = value.value("a", std::string());
+    call.epoch = value.value("e", std::uint64_t{0});
+    if (value.contains("t"))
+        call.task = task_from_json(value["t"]);
+    call.run = value.value("r", 0U);
+    call.payload = value.value("p", std::string());
+    call.checkpoint = value.value("c", std::string());
+    call.ticket = value.value("k", std::string());
+    call.lease_until_ms = value.value("l", std::int64_t{0});
+    call.acked_end = value.value("n", std::uint64_t{0});
+    call.wait_ms = value.value("m", std::int64_t{0});
+    call.percent = value.value("pc", 100);
+    if (value.contains("ws"))
+        call.workers = value["ws"].get<std::vector<std::string>>();
+    return call;
+}
+
+json to_json(const worker_answer& answer)
+{
+    json value{{"i", answer.id}, {"s", static_cast<int>(answer.status)}};
+    if (answer.clock_ms >= 0)
+        value["c"] = answer.clock_ms;
+    put(value, "b", answer.born_ms);
+    for (const auto& each : answer.running)
+        value["r"].push_back({task_to_json(each.task), each.run,
+                              each.checkpoint, each.percent, each.gauge});
+    for (const auto& each : answer.ended)
+        value["f"].push_back({each.number, task_to_json(each.task), each.run,
+                              static_cast<int>(each.kind), each.checkpoint});
+    for (const auto& each : answer.tickets)
+        value["k"].push_back({each.worker, each.ticket});
+    return value;
+}
+
+worker_answer worker_answer_from_json(const json& value)
+{
+    worker_answer answer;
+    answer.id = value.at("i").get<std::uint64_t>();
+    answer.status = static_cast<order_status>(value.at("s").get<int>());
+    answer.clock_ms = value.value("c", std::int64_t{-1});
+    answer.born_ms = value.value("b", std::int64_t{0});
+    if (value.contains("r"))
+    {
+        for (const auto& each : value["r"])
+            answer.running.push_back(
+                {task_from_json(each.at(0)), each.at(1).get<std::uint32_t>(),
+                 each.at(2).get<std::string>(), each.at(3).get<int>(),
+                 each.at(4).get<std::int64_t>()});
+    }
+    if (value.contains("f"))
+    {
+        for (const auto& each : value["f"])
+            answer.ended.push_back(
+                {each.at(0).get<std::uint64_t>(), task_from_json(each.at(1)),
+                 each.at(2).get<std::uint32_t>(),
+                 static_cast<end_kind>(each.at(3).get<int>()),
+                 each.at(4).get<std::string>()});
+    }
+    if (value.contains("k"))
+    {
+        for (const auto& each : value["k"])
+            answer.tickets.push_back(
+                {each.at(0).get<std::string>(), each.at(1).get<std::string>()});
+    }
+    return answer;
+}
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/cell_config.cpp
@@ -0,0 +1,62 @@
+#include "cell_config_p.hpp"
+
+#include <utility>
+
+#include "cell_limits_p.hpp"
+
+namespace carobcourse
+{
+
+cell_config::cell_config(std::uint64_t version,
+                         std::vector<queue_config> queues,
+                         std::vector<customer_config> customers,
+                         std::set<std::string> guarding_services)
+    : version_(version), queues_(std::move(queues)),
+      customers_(std::move(customers)),
+      guarding_services_(std::move(guarding_services))
+{
+    for (std::size_t i = 0; i < queues_.size(); ++i)
+        by_queue_.emplace(queues_[i].name, i);
+    for (std::size_t i = 0; i < customers_.size(); ++i)
+    {
+        by_customer_.emplace(customers_[i].name, i);
+        for (const auto& key : customers_[i].keys)
+            by_key_.emplace(key, i);
+    }
+}
+
+const queue_config* cell_config::find_queue(const std::string& host,
+                                            const std::string& path) const
+{
+    const queue_config* best = nullptr;
+    for (const auto& queue : queues_)
+    {
+        if (queue.host == host &&
+            path.compare(0, queue.prefix.size(), queue.prefix) == 0 &&
+            (!best || queue.prefix.size() > best->prefix.size()))
+            best = &queue;
+    }
+    return best;
+}
+
+const queue_config* cell_config::queue_named(const std::string& name) const
+{
+    const auto found = by_queue_.find(name);
+    return found == by_queue_.end() ? nullptr : &queues_[found->second];
+}
+
+const customer_config*
+cell_config::customer_of_key(const std::string& key) const
+{
+    const auto found = by_key_.find(key);
+    return found == by_key_.end() ? nullptr : &customers_[found->second];
+}
+
+const customer_config*
+cell_config::customer_named(const std::string& name) const
+{
+    const auto found = by_customer_.find(name);
+    return found == by_customer_.end() ? nullptr : &customers_[found->second];
+}
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/cell_context_p.hpp
@@ -0,0 +1,70 @@
+/// What the parts of one host of the cell share.
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "cell_config_p.hpp"
+#include "cell_event_p.hpp"
+#include "keyring_p.hpp"
+#include "metrics_p.hpp"
+
+namespace carobcourse
+{
+
+/// Identity of this process, fixed at its start.
+struct cell_identity
+{
+    std::string host;
+    std::string data_centre;
+    std::string incarnation;
+    std::string peer_address;
+    /// Relative processor share; stronger hosts claim the cell first.
+    double processor_share = 1;
+    /// A planned stop ends at the latest this long after its request.
+    duration stop_limit = std::chrono::seconds(5);
+};
+
+/// Used by the core thread only.
+class cell_context
+{
+public:
+    cell_context(cell_identity identity, std::uint64_t seed,
+                 entropy_source& entropy, const outside_rows& outside)
+        : identity(std::move(identity)), entropy(entropy), outside(outside),
+          random(seed)
+    {
+    }
+
+    const cell_identity identity;
+    entropy_source& entropy;
+    const outside_rows& outside;
+    std::mt19937_64 random;
+    metrics counters;
+    std::int64_t unix_ms = 0;
+    cell_config_ptr config; ///< Null until one was read.
+    std::set<std::string> data_centres_out;
+    cell_effects out;
+
+    op_id next_op()
+    {
+        return {component::cell, ++sequence_};
+    }
+    std::uint64_t next_call()
+    {
+        return ++calls_;
+    }
+    void log(log_code code, std::string detail)
+    {
+        out.emplace_back(log_record{code, std::move(detail)});
+    }
+
+private:
+    std::uint64_t sequence_ = 0;
+    std::uint64_t calls_ = 0;
+};
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/cell_front.cpp
@@ -0,0 +1,230 @@
+#include "cell_front_p.hpp"
+
+#include <fmt/format.h>
+#include <utility>
+#include <vector>
+
+#include "cell_codec_p.hpp"
+#include "cell_limits_p.hpp"
+
+namespace carobcourse
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr auto resend_period = std::chrono::milliseconds(600);
+/// Age up to which counts of waiting jobs are shown.
+constexpr auto count_validity = std::chrono::milliseconds(2000);
+constexpr std::size_t job_id_bytes = 16;
+
+bool is_job_id(const std::string& text)
+{
+    return text.size() == job_id_bytes &&
+           text.find_first_not_of("0123456789abcdefABCDEF") ==
+               std::string::npos;
+}
+
+const char* kind_of(caller_verb verb)
+{
+    switch (verb)
+    {
+    case caller_verb::submit:
+        return "submit";
+    case caller_verb::cancel:
+        return "cancel";
+    case caller_verb::status:
+    case caller_verb::other:
+        break;
+    }
+    return "status";
+}
+
+} // namespace
+
+bool cell_front::is_config_fresh(time_point now) const
+{
+    return context_.config &&
+           now <= config_confirmed_ + config::cell_key_validity;
+}
+
+void cell_front::answer(caller_answer answer)
+{
+    answer.closing = closing_;
+    context_.out.emplace_back(std::move(answer));
+}
+
+void cell_front::refuse(time_point now, const caller_request& request,
+                        result_code code, std::int64_t retry_after_ms)
+{
+    context_.counters.count_refusal(code);
+    context_.log(
+        log_code::cell_call_refused,
+        fmt::format("path={} verb={} code={} config={} config_age_ms={}",
+                    request.path, kind_of(request.verb), to_string(code),
+                    context_.config ? context_.config->version() : 0,
+                    (now - config_confirmed_).count() / 1000));
+    caller_answer out;
+    out.id = request.id;
+    out.code = code;
+    out.retry_after_ms = retry_after_ms;
+    answer(std::move(out));
+}
+
+void cell_front::count_waiting(time_point now, const caller_request& request,
+                               const queue_config& queue)
+{
+    if (now > waiting_at_ + count_validity)
+    {
+        refuse(now, request, result_code::owner_unknown,
+               config::cell_retry_after.count());
+        return;
+    }
+    const auto found = waiting_.find(queue.name);
+    caller_answer out;
+    out.id = request.id;
+    out.waiting = found == waiting_.end() ? 0 : found->second;
+    answer(std::move(out));
+}
+
+void cell_front::on_request(time_point now, const caller_request& request,
+                            const sender& to_owner)
+{
+    const auto retry = config::cell_retry_after.count();
+    if (!context_.config)
+    {
+        refuse(now, request, result_code::no_configuration, retry);
+        return;
+    }
+    const auto* queue = context_.config->find_queue(request.host, request.path);
+    if (!queue)
+    {
+        refuse(now, request, result_code::not_found);
+        return;
+    }
+    if (!queue->open && !is_config_fresh(now))
+    {
+        refuse(now, request, result_code::configuration_stale, retry);
+        return;
+    }
+    const auto* customer = context_.config->customer_of_key(request.key);
+    if (!queue->open && !customer)
+    {
+        refuse(now, request,
+               request.key.empty() ? result_code::key_missing
+                                   : result_code::key_unknown);
+        return;
+    }
+    const auto id = request.path.substr(queue->prefix.size());
+    if (request.verb == caller_verb::status && id.empty())
+    {
+        count_waiting(now, request, *queue);
+        return;
+    }
+    if (request.verb == caller_verb::other)
+    {
+        refuse(now, request, result_code::method_not_allowed);
+        return;
+    }
+    if (!is_job_id(id))
+    {
+        refuse(now, request,
+               request.verb == caller_verb::submit ? result_code::bad_request
+                                                   : result_code::job_unknown);
+        return;
+    }
+    json item{{"k", kind_of(request.verb)}, {"c", request.id}, {"id", id}};
+    if (request.verb == caller_verb::submit)
+    {
+        const auto* work = request.work ? &*request.work : nullptr;
+        if (!work || !*work)
+        {
+            refuse(now, request, result_code::bad_request);
+            return;
+        }
+        if (check_work(**work))
+        {
+            refuse(now, request, result_code::bad_request);
+            return;
+        }
+        item["q"] = queue->name;
+        item["cu"] = customer ? customer->name : std::string();
+        item["w"] = to_json(**work);
+    }
+    pending_call call;
+    call.item = std::move(item);
+    call.verb = request.verb;
+    call.taken_at = now;
+    call.deadline = request.deadline;
+    call.sent = to_owner(call.item);
+    call.next_send = now + resend_period;
+    calls_.emplace(request.id, std::move(call));
+}
+
+void cell_front::on_answer(time_point now, const json& item)
+{
+    const auto found = calls_.find(item.value("c", call_id{0}));
+    if (found == calls_.end())
+        return;
+    caller_answer out;
+    out.id = found->first;
+    out.code = static_cast<result_code>(item.value("code", 0U));
+    out.retry_after_ms = item.value("retry", std::int64_t{0});
+    if (item.contains("p"))
+        out.phase = job_phase_from(item["p"].get<std::string>());
+    context_.counters.observe("carobcourse_call_seconds",
+                              now - found->second.taken_at);
+    calls_.erase(found);
+    answer(std::move(out));
+}
+
+void cell_front::on_abandoned(call_id id)
+{
+    calls_.erase(id);
+}
+
+void cell_front::resend(const sender& to_owner)
+{
+    for (auto& [id, call] : calls_)
+        call.sent = to_owner(call.item) || call.sent;
+}
+
+void cell_front::tick(time_point now, const sender& to_owner)
+{
+    std::vector<std::pair<call_id, result_code>> given_up;
+    for (auto& [id, call] : calls_)
+    {
+        if (!call.sent && now >= call.taken_at + config::cell_owner_patience)
+            given_up.emplace_back(id, result_code::owner_unknown);
+        else if (now + config::cell_answer_margin >= call.deadline)
+            given_up.emplace_back(id, call.sent ? result_code::outcome_unknown
+                                                : result_code::owner_unknown);
+        else if (now >= call.next_send)
+        {
+            call.next_send = now + resend_period;
+            call.sent = to_owner(call.item) || call.sent;
+        }
+    }
+    for (const auto& [id, code] : given_up)
+    {
+        const auto& call = calls_[id];
+        context_.counters.count_refusal(code);
+        context_.log(code == result_code::outcome_unknown
+                         ? log_code::cell_call_unknown
+                         : log_code::cell_call_refused,
+                     fmt::format("job={} verb={} code={} sent={} age_ms={}",
+                                 call.item.value("id", std::string()),
+                                 kind_of(call.verb), to_string(code), call.sent,
+                                 (now - call.taken_at).count() / 1000));
+        caller_answer out;
+        out.id = id;
+        out.code = code;
+        out.retry_after_ms = config::cell_retry_after.count();
+        answer(std::move(out));
+        calls_.erase(id);
+    }
+}
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/cell_front_p.hpp
@@ -0,0 +1,80 @@
+/// Callers of one entry host: keys, queues, and the way to the owner.
+#pragma once
+
+#include <carobcourse/types.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "cell_context_p.hpp"
+
+namespace carobcourse
+{
+
+/// Core thread only.
+class cell_front
+{
+public:
+    explicit cell_front(cell_context& context) : context_(context) {}
+
+    /// Sends an item to the owner; false when there is no way to it.
+    using sender = std::function<bool(const nlohmann::json&)>;
+
+    void on_request(time_point now, const caller_request& request,
+                    const sender& to_owner);
+    /// Answer of the owner.
+    void on_answer(time_point now, const nlohmann::json& item);
+    void on_abandoned(call_id id);
+    /// The owner has changed or is reached again: its calls go out once more.
+    /// All of them may be repeated: a job is known by its id.
+    void resend(const sender& to_owner);
+    void tick(time_point now, const sender& to_owner);
+    /// Counts of waiting jobs as told by the owner.
+    void set_waiting(time_point now,
+                     std::map<std::string, std::uint64_t> counts)
+    {
+        waiting_ = std::move(counts);
+        waiting_at_ = now;
+    }
+    void set_confirmed(time_point at)
+    {
+        config_confirmed_ = std::max(config_confirmed_, at);
+    }
+    bool is_config_fresh(time_point now) const;
+    void set_closing()
+    {
+        closing_ = true;
+    }
+    std::size_t pending() const
+    {
+        return calls_.size();
+    }
+
+private:
+    struct pending_call
+    {
+        nlohmann::json item;
+        caller_verb verb = caller_verb::other;
+        time_point taken_at;
+        time_point deadline;
+        time_point next_send;
+        bool sent = false; ///< To any owner: it may have acted on it.
+    };
+
+    void answer(caller_answer answer);
+    void refuse(time_point now, const caller_request& request, result_code code,
+                std::int64_t retry_after_ms = 0);
+    void count_waiting(time_point now, const caller_request& request,
+                       const queue_config& queue);
+
+    cell_context& context_;
+    std::map<call_id, pending_call> calls_;
+    std::map<std::string, std::uint64_t> waiting_;
+    time_point waiting_at_;
+    time_point config_confirmed_;
+    bool closing_ = false;
+};
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/cell_journal_p.hpp
@@ -0,0 +1,135 @@
+/// Writes of the owner to the store: grouped, in order, fenced by its row.
+#pragma once
+
+#include <carobcourse/types.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cell_event_p.hpp"
+
+namespace carobcourse
+{
+
+/// Tables of the cell.
+namespace cell_table
+{
+constexpr char owner[] = "cell";
+constexpr char member[] = "member";
+constexpr char job[] = "job";
+constexpr char progress[] = "progress";
+constexpr char ended[] = "ended";
+} // namespace cell_table
+
+/// Row that names the owner, in table `cell`.
+constexpr char owner_key[] = "owner";
+
+/// Content of the owner's row. Every commit of the owner rewrites it, so that
+/// a commit that arrives late finds another version and writes nothing.
+struct owner_row
+{
+    std::uint64_t epoch = 0;
+    std::string host;
+    std::string incarnation;
+    std::string peer_address;
+    std::uint64_t sequence = 0; ///< Of the owner's commits.
+    bool released = false;      ///< Free for others at once.
+
+    friend bool operator==(const owner_row& a, const owner_row& b)
+    {
+        return a.epoch == b.epoch && a.host == b.host &&
+               a.incarnation == b.incarnation &&
+               a.peer_address == b.peer_address && a.sequence == b.sequence &&
+               a.released == b.released;
+    }
+};
+
+std::string to_text(const owner_row& owner);
+std::optional<owner_row> owner_row_from(const std::string& text);
+
+/// Groups writes into commits, one in flight at a time. A commit whose reply
+/// is lost is sent again as it was: the owner's row tells whether it took
+/// effect. Used by the core thread only.
+class cell_journal
+{
+public:
+    enum class verdict : std::uint8_t
+    {
+        written,
+        failing, ///< Sent again later.
+        deposed  ///< Another owner has written its row.
+    };
+    using continuation = std::function<void()>;
+
+    /// `version` is that of the owner's row, which holds `owner`.
+    cell_journal(owner_row owner, std::uint64_t version);
+
+    /// Queues a write; a queued one of the same row is replaced. `durable`
+    /// runs when the write is confirmed.
+    void write(const std::string& table, const std::string& key,
+               std::optional<std::string> value, continuation durable = {});
+    /// Runs `done` when everything queued so far is confirmed.
+    void after_all(continuation done);
+    /// True when the write of a row is queued and no commit carries it yet.
+    bool is_queued(const std::string& table, const std::string& key) const;
+    /// Takes a queued write back; it never takes effect.
+    void withdraw(const std::string& table, const std::string& key);
+
+    /// Returns the next commit when one is due.
+    std::optional<store_commit> next(time_point now, op_id op);
+    /// Takes the answer to the commit in flight; runs continuations.
+    verdict on_result(time_point now, const store_result& result);
+    bool expects(const op_id& op) const
+    {
+        return in_flight_ && op == op_;
+    }
+    /// Gives the row up with the next commit.
+    void release()
+    {
+        owner_.released = true;
+    }
+    bool is_released() const
+    {
+        return released_;
+    }
+    const owner_row& owner() const
+    {
+        return owner_;
+    }
+    /// True while the store does not take the owner's commits.
+    bool is_failing() const
+    {
+        return failures_ > 0;
+    }
+    time_point last_written() const
+    {
+        return last_written_;
+    }
+
+private:
+    struct item
+    {
+        row_write write;
+        std::vector<continuation> durable;
+    };
+    using row_name = std::pair<std::string, std::string>;
+
+    void succeed(time_point now, std::uint64_t version);
+
+    owner_row owner_;
+    std::uint64_t version_;
+    std::deque<item> queue_;
+    std::vector<item> batch_; ///< In flight, or to be sent again.
+    bool in_flight_ = false;
+    op_id op_;
+    time_point next_commit_;
+    time_point last_written_;
+    unsigned failures_ = 0;
+    bool released_ = false;
+};
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/cell_order.cpp
@@ -0,0 +1,81 @@
+#include "cell_order_p.hpp"
+
+#include <algorithm>
+
+#include "cell_limits_p.hpp"
+
+namespace carobcourse
+{
+
+namespace
+{
+
+enum band : int
+{
+    band_urgent,
+    band_normal,
+    band_late,
+    band_excess
+};
+
+/// Part of the objective's time by which a lower priority comes later.
+constexpr auto priority_step = std::chrono::milliseconds(500);
+
+} // namespace
+
+order_key order_of(const order_input& job, time_point now)
+{
+    order_key key;
+    key.tie = job.tie;
+    key.latest_start = job.objective - std::chrono::milliseconds(job.chain_ms) +
+                       priority_step * job.priority;
+    if (job.excess)
+        key.band = band_excess;
+    else if (now > job.objective)
+        key.band = band_late;
+    else if (job.priority == 0)
+        key.band = band_urgent;
+    else
+        key.band = band_normal;
+    return key;
+}
+
+bool customer_rates::take(time_point now, const std::string& customer,
+                          double per_second)
+{
+    // One second's worth, and at least one job at once.
+    const auto most = std::max(1.0, per_second);
+    auto [at, is_new] = buckets_.try_emplace(customer, bucket{most, now});
+    auto& bucket = at->second;
+    const std::chrono::duration<double> passed = now - bucket.filled_at;
+    bucket.tokens = std::min(most, bucket.tokens + passed.count() * per_second);
+    bucket.filled_at = now;
+    if (bucket.tokens < 1.0)
+        return false;
+    bucket.tokens -= 1.0;
+    return true;
+}
+
+admission admit(const admission_input& input)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const auto retry = milliseconds(config::cell_retry_after).count();
+    if (input.store_failing)
+        return {result_code::store_unavailable, retry};
+    if (input.jobs >= config::cell_max_jobs)
+        return {result_code::team_queue_full, retry};
+    if (input.cores <= 0)
+        return {};
+    const auto wait = milliseconds(
+        static_cast<std::int64_t>(input.work_before / input.cores));
+    const auto end = input.now + wait + milliseconds(input.chain_ms);
+    const auto limit = input.excess ? input.objective : input.late_end;
+    if (end <= limit)
+        return {};
+    // Back when the queue has drained far enough to end in time.
+    const auto over = duration_cast<milliseconds>(end - limit).count();
+    return {result_code::team_queue_full, std::max<std::int64_t>(over, retry)};
+}
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/cell_owner.cpp
@@ -0,0 +1,631 @@
+#include "cell_owner_p.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+#include "cell_codec_p.hpp"
+#include "cell_limits_p.hpp"
+
+namespace carobcourse
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+/// Row of table `cell` with the ids of the workers that the owner holds.
+constexpr char lease_key[] = "leases";
+
+/// A job is worth something until this many times its objective.
+constexpr int late_factor = 3;
+
+constexpr auto count_period = std::chrono::milliseconds(200);
+constexpr auto cleanup_period = std::chrono::seconds(5);
+/// Ended jobs that one cleanup removes.
+constexpr std::size_t cleanup_rows = 300;
+
+} // namespace
+
+cell_owner::cell_owner(cell_context& context, owner_links& links, owner_row row,
+                       std::uint64_t version, time_point now)
+    : context_(context), links_(links), journal_(std::move(row), version),
+      claimed_at_(now)
+{
+    for (int i = 0; i < static_cast<int>(load_part::count); ++i)
+        scan(static_cast<load_part>(i), "");
+}
+
+// ------------------------------------------------------------------- loading
+
+void cell_owner::scan(load_part part, std::string after)
+{
+    store_scan scan;
+    scan.op = context_.next_op();
+    scan.after = std::move(after);
+    scan.limit = config::cell_scan_page;
+    switch (part)
+    {
+    case load_part::meta:
+        scan.table = cell_table::owner;
+        break;
+    case load_part::jobs:
+        scan.table = cell_table::job;
+        break;
+    case load_part::progress:
+        scan.table = cell_table::progress;
+        break;
+    case load_part::ended:
+        scan.table = cell_table::ended;
+        break;
+    case load_part::workers:
+    case load_part::count:
+        scan.table = context_.outside.worker_table();
+        break;
+    }
+    loads_.emplace(scan.op, part);
+    context_.out.emplace_back(std::move(scan));
+}
+
+bool cell_owner::on_store(time_point now, const store_result& result)
+{
+    if (journal_.expects(result.op))
+    {
+        const bool was_failing = journal_.is_failing();
+        const auto verdict = journal_.on_result(now, result);
+        if (verdict == cell_journal::verdict::deposed)
+            deposed_ = true;
+        else if (verdict == cell_journal::verdict::failing && !was_failing)
+        {
+            context_.log(log_code::store_down, "commits of the owner");
+            refuse_queued(now);
+        }
+        else if (verdict == cell_journal::verdict::written && was_failing)
+            context_.log(log_code::store_up, "commits of the owner");
+        dispatch_due_ = true;
+        return true;
+    }
+    const auto load = loads_.find(result.op);
+    if (load == loads_.end())
+        return false;
+    const auto part = load->second;
+    loads_.erase(load);
+    on_loaded(now, part, result);
+    return true;
+}
+
+void cell_owner::on_loaded(time_point now, load_part part,
+                           const store_result& result)
+{
+    if (result.status != store_status::ok)
+    {
+        scan(part, "");
+        return;
+    }
+    load_rows(now, part, result.rows);
+    if (result.more && !result.rows.empty())
+    {
+        scan(part, result.rows.back().key);
+        return;
+    }
+    if (part == load_part::workers)
+    {
+        worker_version_ = result.version;
+        worker_watch_.reset();
+        next_worker_watch_ = now;
+    }
+    loaded_parts_.insert(part);
+    if (!loaded_ &&
+        loaded_parts_.size() == static_cast<std::size_t>(load_part::count))
+        finish_load(now);
+}
+
+void cell_owner::load_rows(time_point now, load_part part,
+                           const std::vector<carobcourse::row>& rows)
+{
+    for (const auto& row : rows)
+    {
+        const auto value = json::parse(row.value, nullptr, false);
+        switch (part)
+        {
+        case load_part::meta:
+            if (row.key == lease_key && value.is_array())
+            {
+                for (const auto& id : value)
+                    if (id.is_string())
+                        unresolved_.insert(id.get<std::string>());
+                leased_ = unresolved_;
+            }
+            break;
+        case load_part::jobs:
+            if (auto job = cell_job::from_text(row.key, row.value))
+            {
+                job->durable = true;
+                jobs_.emplace(row.key, std::move(job));
+            }
+            else
+                context_.log(log_code::cell_row_unreadable,
+                             fmt::format("job={}", row.key));
+            break;
+        case load_part::progress:
+            loaded_progress_[row.key] = row.value;
+            break;
+        case load_part::ended:
+            if (value.is_object())
+            {
+                const auto phase =
+                    job_phase_from(value.value("p", std::string()));
+                if (phase)
+                    ended_[row.key] = {*phase,
+                                       value.value("t", std::int64_t{0})};
+            }
+            break;
+        case load_part::workers:
+        case load_part::count:
+            apply_worker_row(now, row.key, row.value);
+            break;
+        }
+    }
+}
+
+void cell_owner::finish_load(time_point now)
+{
+    loaded_ = true;
+    for (auto at = jobs_.begin(); at != jobs_.end();)
+    {
+        if (ended_.count(at->first))
+        {
+            journal_.write(cell_table::job, at->first, std::nullopt);
+            journal_.write(cell_table::progress, at->first, std::nullopt);
+            at = jobs_.erase(at);
+            continue;
+        }
+        auto& job = *at->second;
+        const auto progress = loaded_progress_.find(job.id());
+        if (progress != loaded_progress_.end() &&
+            !job.read_progress(progress->second, now))
+            context_.log(log_code::cell_row_unreadable,
+                         fmt::format("progress={}", job.id()));
+        job.add_due(context_.unix_ms, now);
+        job.mark_unclear();
+        set_objective(now, job);
+        ++at;
+    }
+    loaded_progress_.clear();
+    for (const auto& [id, worker] : workers_.all())
+        unresolved_.insert(id);
+    context_.log(log_code::cell_loaded,
+                 fmt::format("epoch={} jobs={} ended={} workers={} after_us={}",
+                             row().epoch, jobs_.size(), ended_.size(),
+                             workers_.all().size(),
+                             (now - claimed_at_).count()));
+    for (auto& job : jobs_)
+        if (is_final(job.second->phase()))
+            dirty_.insert(job.first);
+    const auto held_back = std::exchange(held_back_, {});
+    for (const auto& [host, item] : held_back)
+        on_front_call(now, host, item);
+    record_leases();
+    dispatch_due_ = true;
+}
+
+void cell_owner::set_objective(time_point now, cell_job& job)
+{
+    const auto* queue =
+        context_.config ? context_.config->queue_named(job.queue()) : nullptr;
+    const auto age =
+        std::max<std::int64_t>(0, context_.unix_ms - job.accepted_unix_ms());
+    const auto chain = static_cast<double>(job.chain_ms());
+    const auto aim = std::chrono::milliseconds(
+        queue ? static_cast<std::int64_t>(queue->stretch * chain) +
+                    queue->slack_ms
+              : static_cast<std::int64_t>(chain));
+    const auto start = now - std::chrono::milliseconds(age);
+    job.objective = start + aim;
+    job.late_end = start + aim * late_factor;
+}
+
+// ------------------------------------------------------------------- callers
+
+void cell_owner::on_front_call(time_point now, const std::string& host,
+                               const json& item)
+{
+    if (!loaded_)
+    {
+        held_back_.emplace_back(host, item);
+        return;
+    }
+    const reply_address from{host, item.value("c", std::uint64_t{0})};
+    const auto kind = item.value("k", std::string());
+    const auto id = item.value("id", std::string());
+    if (kind == "submit")
+        submit(now, from, item);
+    else if (kind == "cancel")
+        cancel(now, from, id);
+    else
+        show(from, id);
+}
+
+void cell_owner::reply(const reply_address& to, result_code code,
+                       std::optional<job_phase> phase,
+                       std::int64_t retry_after_ms)
+{
+    json item{
+        {"k", "answer"}, {"c", to.call}, {"code", static_cast<unsigned>(code)}};
+    if (phase)
+        item["p"] = to_string(*phase);
+    if (retry_after_ms > 0)
+        item["retry"] = retry_after_ms;
+    links_.answer(to.host, std::move(item));
+}
+
+void cell_owner::submit(time_point now, const reply_address& from,
+                        const json& item)
+{
+    const auto id = item.value("id", std::string());
+    if (ended_.count(id))
+    {
+        reply(from, result_code::ok);
+        return;
+    }
+    const auto known = jobs_.find(id);
+    if (known != jobs_.end())
+    {
+        if (known->second->durable)
+            reply(from, result_code::ok);
+        else
+            submitters_[id].push_back(from);
+        return;
+    }
+    const auto customer = item.value("cu", std::string());
+    const auto queue_name = item.value("q", std::string());
+    const auto* queue =
+        context_.config ? context_.config->queue_named(queue_name) : nullptr;
+    if (!queue)
+    {
+        reply(from, result_code::no_configuration, {},
+              config::cell_retry_after.count());
+        return;
+    }
+    std::unique_ptr<cell_job> job;
+    try
+    {
+        job = std::make_unique<cell_job>(id, customer, queue_name,
+                                         work_from_json(item.at("w")),
+                                         context_.unix_ms, row().epoch);
+    }
+    catch (const json::exception&)
+    {
+        reply(from, result_code::bad_request);
+        return;
+    }
+    const auto* owner = context_.config->customer_named(customer);
+    job->excess = owner && !rates_.take(now, customer, owner->weight);
+    job->origin = from.host;
+    set_objective(now, *job);
+    admission_input input;
+    input.now = now;
+    input.objective = job->objective;
+    input.late_end = job->late_end;
+    input.chain_ms = job->chain_ms();
+    input.excess = job->excess;
+    input.store_failing = journal_.is_failing();
+    input.jobs = jobs_.size();
+    input.work_before = work_before(*job);
+    input.cores = static_cast<double>(workers_.capacity().cpu_millis) / 1000.0;
+    const auto admitted = admit(input);
+    if (admitted.code != result_code::ok)
+    {
+        context_.counters.count_refusal(admitted.code);
+        context_.log(
+            log_code::cell_job_refused,
+            fmt::format("job={} queue={} customer={} code={} excess={} "
+                        "jobs={} work_before_core_ms={:.0f} cores={:.0f}",
+                        id, queue_name, customer, to_string(admitted.code),
+                        input.excess, input.jobs, input.work_before,
+                        input.cores));
+        reply(from, admitted.code, {}, admitted.retry_after_ms);
+        return;
+    }
+    job->add_due(context_.unix_ms, now);
+    auto text = job->spec_text();
+    jobs_.emplace(id, std::move(job));
+    ++arrivals_;
+    submitters_[id].push_back(from);
+    journal_.write(cell_table::job, id, std::move(text),
+                   [this, id, now] { accept(now, id); });
+    dispatch_due_ = true;
+}
+
+void cell_owner::accept(time_point now, const std::string& id)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+        return;
+    auto& job = *found->second;
+    job.durable = true;
+    context_.counters.count("carobcourse_jobs_accepted_total", job.queue());
+    context_.log(log_code::job_accepted,
+                 fmt::format("job={} queue={} customer={} excess={} epoch={}",
+                             id, job.queue(), job.customer(), job.excess,
+                             row().epoch));
+    const auto waiting = submitters_.extract(id);
+    if (!waiting.empty())
+        for (const auto& each : waiting.mapped())
+            reply(each, result_code::ok);
+    static_cast<void>(now);
+    dispatch_due_ = true;
+}
+
+/// Jobs whose write was not sent to the store yet never run: their callers
+/// may come back.
+void cell_owner::refuse_queued(time_point now)
+{
+    for (auto at = jobs_.begin(); at != jobs_.end();)
+    {
+        const auto& id = at->first;
+        if (at->second->durable || !journal_.is_queued(cell_table::job, id))
+        {
+            ++at;
+            continue;
+        }
+        journal_.withdraw(cell_table::job, id);
+        const auto waiting = submitters_.extract(id);
+        if (!waiting.empty())
+            for (const auto& each : waiting.mapped())
+                reply(each, result_code::store_unavailable, {},
+                      config::cell_retry_after.count());
+        context_.counters.count_refusal(result_code::store_unavailable);
+        context_.log(log_code::cell_job_refused,
+                     fmt::format("job={} code={} reason=commit_not_sent", id,
+                                 to_string(result_code::store_unavailable)));
+        at = jobs_.erase(at);
+    }
+    static_cast<void>(now);
+}
+
+void cell_owner::cancel(time_point now, const reply_address& from,
+                        const std::string& id)
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+    {
+        reply(from,
+              ended_.count(id) ? result_code::ok : result_code::job_unknown);
+        return;
+    }
+    auto& job = *found->second;
+    if (!is_final(job.phase()))
+    {
+        job.cancel();
+        finalize(now, job);
+    }
+    journal_.after_all([this, from] { reply(from, result_code::ok); });
+}
+
+void cell_owner::show(const reply_address& from, const std::string& id)
+{
+    const auto ended = ended_.find(id);
+    if (ended != ended_.end())
+    {
+        reply(from, result_code::ok, ended->second.phase);
+        return;
+    }
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+    {
+        reply(from, result_code::job_unknown);
+        return;
+    }
+    // A final phase is shown once it is durable.
+    const auto phase = found->second->phase();
+    reply(from, result_code::ok, is_final(phase) ? job_phase::running : phase);
+}
+
+double cell_owner::work_before(const cell_job& job) const
+{
+    double work = 0;
+    for (const auto& [id, other] : jobs_)
+    {
+        if (other->excess && !job.excess)
+            continue;
+        if (other->objective <= job.objective)
+            work += other->work_left();
+    }
+    return work;
+}
+
+// ---------------------------------------------------------------- durability
+
+void cell_owner::finalize(time_point now, cell_job& job)
+{
+    const auto id = job.id();
+    const auto phase = job.phase();
+    dirty_.erase(id);
+    journal_.write(
+        cell_table::ended, id,
+        json{{"p", to_string(phase)}, {"t", context_.unix_ms}}.dump(),
+        [this, now, id, phase] { on_final(now, id, phase); });
+    journal_.write(cell_table::job, id, std::nullopt);
+    journal_.write(cell_table::progress, id, std::nullopt);
+}
+
+void cell_owner::on_final(time_point now, const std::string& id,
+                          job_phase phase)
+{
+    ended_[id] = {phase, context_.unix_ms};
+    const auto found = jobs_.find(id);
+    if (found != jobs_.end())
+    {
+        context_.counters.count("carobcourse_jobs_ended_total",
+                                to_string(phase));
+        context_.log(
+            log_code::job_ended,
+            fmt::format("job={} queue={} customer={} phase={} "
+                        "age_ms={} epoch={}",
+                        id, found->second->queue(), found->second->customer(),
+                        to_string(phase),
+                        context_.unix_ms - found->second->accepted_unix_ms(),
+                        row().epoch));
+        jobs_.erase(found);
+    }
+    const auto waiting = submitters_.extract(id);
+    if (!waiting.empty())
+        for (const auto& each : waiting.mapped())
+            reply(each, result_code::ok);
+    stop_job_runs(now, id);
+    dispatch_due_ = true;
+}
+
+void cell_owner::write_dirty(time_point now)
+{
+    const auto dirty = std::exchange(dirty_, {});
+    for (const auto& id : dirty)
+    {
+        const auto found = jobs_.find(id);
+        if (found == jobs_.end())
+            continue;
+        auto& job = *found->second;
+        if (is_final(job.phase()))
+            finalize(now, job);
+        else
+            journal_.write(cell_table::progress, id, job.progress_text());
+    }
+    const auto due = std::exchange(acks_due_, {});
+    for (const auto& id : due)
+    {
+        const auto* worker = workers_.find(id);
+        if (!worker)
+            continue;
+        journal_.after_all(
+            [this, id, seen = worker->ends_seen, born = worker->born_ms]
+            {
+                auto* at = workers_.find(id);
+                if (!at || at->born_ms != born)
+                    return;
+                at->ends_durable = std::max(at->ends_durable, seen);
+                at->next_hold = {};
+            });
+    }
+}
+
+void cell_owner::count_waiting()
+{
+    waiting_.clear();
+    for (const auto& [id, job] : jobs_)
+    {
+        if (job->durable && !job->has_started() && !is_final(job->phase()))
+            ++waiting_[job->queue()];
+    }
+}
+
+// -------------------------------------------------------------------- rounds
+
+void cell_owner::tick(time_point now)
+{
+    if (!loaded_)
+        return;
+    for (auto& [id, job] : jobs_)
+    {
+        const auto due = job->next_due_ms();
+        if (due && *due <= context_.unix_ms && !is_final(job->phase()))
+        {
+            job->add_due(context_.unix_ms, now);
+            dispatch_due_ = true;
+        }
+    }
+    std::vector<std::uint64_t> overdue;
+    for (const auto& [id, call] : calls_)
+        if (now >= call.deadline)
+            overdue.push_back(id);
+    for (const auto id : overdue)
+    {
+        worker_answer none;
+        none.id = id;
+        on_answer(now, none);
+    }
+    if (now >= next_count_)
+    {
+        next_count_ = now + count_period;
+        count_waiting();
+        dispatch_due_ = true;
+    }
+    if (now >= next_cleanup_)
+    {
+        next_cleanup_ = now + cleanup_period;
+        const auto memory =
+            std::chrono::milliseconds(config::cell_ended_memory).count();
+        std::size_t removed = 0;
+        for (auto at = ended_.begin();
+             at != ended_.end() && removed < cleanup_rows;)
+        {
+            if (context_.unix_ms - at->second.unix_ms <= memory)
+            {
+                ++at;
+                continue;
+            }
+            journal_.write(cell_table::ended, at->first, std::nullopt);
+            at = ended_.erase(at);
+            ++removed;
+        }
+    }
+}
+
+void cell_owner::finish_batch(time_point now)
+{
+    if (deposed_ || journal_.is_released())
+        return;
+    if (loaded_)
+    {
+        watch_workers(now);
+        resolve_unclear(now);
+        if (dispatch_due_ && context_.config)
+        {
+            dispatch_due_ = false;
+            dispatch(now);
+        }
+        write_dirty(now);
+        hold_due(now);
+    }
+    if (auto commit = journal_.next(now, context_.next_op()))
+        context_.out.emplace_back(std::move(*commit));
+}
+
+void cell_owner::set_agents(time_point now, std::vector<cell_agent> agents)
+{
+    if (agents == agents_)
+        return;
+    agents_ = std::move(agents);
+    std::set<std::string> hosts;
+    std::vector<std::string> lanes;
+    for (const auto& agent : agents_)
+    {
+        hosts.insert(agent.host);
+        if (!agent.leaving)
+            lanes.push_back(agent.host);
+    }
+    std::vector<std::uint64_t> lost;
+    for (const auto& [id, call] : calls_)
+        if (hosts.count(call.agent) == 0)
+            lost.push_back(id);
+    lanes_.set_hosts(std::move(lanes));
+    for (const auto id : lost)
+    {
+        worker_answer none;
+        none.id = id;
+        on_answer(now, none);
+    }
+}
+
+void cell_owner::record_leases()
+{
+    std::set<std::string> ids;
+    for (const auto& [id, worker] : workers_.all())
+        ids.insert(id);
+    if (ids == leased_)
+        return;
+    leased_ = std::move(ids);
+    journal_.write(cell_table::owner, lease_key, json(leased_).dump());
+}
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/cell_owner_dispatch.cpp
@@ -0,0 +1,478 @@
+#include "cell_owner_p.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <random>
+
+#include "cell_limits_p.hpp"
+
+namespace carobcourse
+{
+
+namespace
+{
+
+/// Time that a ticket must be valid for when its start is sent.
+constexpr auto ticket_margin = std::chrono::milliseconds(150);
+/// From the issue of a ticket to its arrival, at most.
+constexpr auto ticket_travel = std::chrono::milliseconds(100);
+/// Workers named in one call, by how much the call costs.
+constexpr std::size_t most_named_cheap = 16;
+constexpr std::size_t most_named = 30;
+constexpr std::size_t most_named_gang = 48;
+constexpr auto ask_again = std::chrono::milliseconds(30);
+constexpr auto ask_again_gang = std::chrono::milliseconds(150);
+/// A gang keeps its reserved workers for so long before it chooses again.
+constexpr auto reservation_time = std::chrono::seconds(6);
+/// Part of all workers that gangs may reserve, in percent.
+constexpr std::size_t reserved_percent = 50;
+
+} // namespace
+
+std::vector<cell_owner::ready_step> cell_owner::ready_steps(time_point now)
+{
+    std::vector<ready_step> ready;
+    for (auto& [id, job] : jobs_)
+    {
+        if (is_final(job->phase()))
+            continue;
+        const auto* queue = context_.config->queue_named(job->queue());
+        if (!queue)
+            continue;
+        for (auto& [number, occurrence] : job->occurrences())
+        {
+            for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s)
+            {
+                const auto& step = occurrence.steps[s];
+                const auto waiting =
+                    static_cast<std::uint32_t>(step.tasks.size()) - step.done -
+                    step.active;
+                const bool gang = job->spec().steps[s].gang;
+                if (waiting == 0 || (gang && step.active > 0) ||
+                    !job->is_ready(occurrence, s))
+                    continue;
+                order_input input;
+                input.priority = queue->priority;
+                input.excess = job->excess;
+                input.objective = job->objective;
+                input.chain_ms = job->spec().steps[s].estimate_ms;
+                input.tie = step_key_of(id, number, s);
+                ready.push_back({order_of(input, now), job.get(), queue, number,
+                                 s, input.tie, waiting});
+            }
+        }
+    }
+    std::sort(ready.begin(), ready.end(),
+              [](const ready_step& a, const ready_step& b)
+              { return a.order < b.order; });
+    return ready;
+}
+
+void cell_owner::dispatch(time_point now)
+{
+    auto ready = ready_steps(now);
+    for (auto at = reservations_.begin(); at != reservations_.end();)
+    {
+        const bool waits = std::any_of(ready.begin(), ready.end(),
+                                       [&](const ready_step& each)
+                                       { return each.key == at->first; });
+        at = waits && now < at->second.until ? std::next(at)
+                                             : reservations_.erase(at);
+    }
+    for (auto& each : ready)
+    {
+        if (each.job->spec().steps[each.step].gang)
+            place_gang(now, each);
+        else
+            place_tasks(now, each);
+    }
+}
+
+bool cell_owner::is_usable(time_point now, const cell_worker& worker,
+                           const std::string& service,
+                           const step_spec& step) const
+{
+    const auto& report = worker.report();
+    return worker.held && worker.reachable && worker.listed &&
+           !report.draining && report.service == service &&
+           now >= worker.avoid_until && !worker.has_unknown_run() &&
+           context_.data_centres_out.count(report.data_centre) == 0 &&
+           (step.label.empty() ||
+            std::find(report.labels.begin(), report.labels.end(), step.label) !=
+                report.labels.end());
+}
+
+bool cell_owner::is_reserved(const std::string& worker, std::uint64_t key) const
+{
+    return std::any_of(reservations_.begin(), reservations_.end(),
+                       [&](const auto& each) {
+                           return each.first != key &&
+                                  each.second.workers.count(worker) > 0;
+                       });
+}
+
+std::vector<placement_candidate> cell_owner::candidates(time_point now,
+                                                        const ready_step& ready,
+                                                        bool with_ticket) const
+{
+    const auto& step = ready.job->spec().steps[ready.step];
+    std::vector<placement_candidate> result;
+    const bool urgent = ready.queue->priority == 0 && !step.gang;
+    const auto add = [&](const cell_worker& worker, const std::string& ticket)
+    {
+        if (!is_usable(now, worker, ready.queue->service, step))
+            return;
+        if (!urgent && is_reserved(worker.report().id, ready.key))
+            return;
+        result.push_back({&worker, ticket});
+    };
+    if (!ready.queue->advice)
+    {
+        for (const auto& [id, worker] : workers_.all())
+            add(worker, {});
+        return result;
+    }
+    const auto* run = ready.job->find_step(ready.occurrence, ready.step);
+    for (const auto& [id, verdict] : run->advice.by_worker)
+    {
+        if (!verdict.good ||
+            (with_ticket && now + ticket_margin >= verdict.valid_until))
+            continue;
+        const auto found = workers_.all().find(id);
+        if (found != workers_.all().end())
+            add(found->second, verdict.ticket);
+    }
+    return result;
+}
+
+bool cell_owner::within_cap(const cell_job& job, const resources& more) const
+{
+    const auto* customer = context_.config->customer_named(job.customer());
+    if (!customer)
+        return true;
+    const auto used = workers_.usage_of(job.customer()) + more;
+    const auto over = [](std::int64_t amount, std::int64_t cap)
+    { return cap > 0 && amount > cap; };
+    return !over(used.cpu_millis, customer->cap.cpu_millis) &&
+           !over(used.memory_mb, customer->cap.memory_mb) &&
+           !over(used.accelerators, customer->cap.accelerators);
+}
+
+void cell_owner::start_task(time_point now, const ready_step& ready,
+                            std::uint32_t index, const cell_worker& worker,
+                            const std::string& ticket, std::uint32_t run)
+{
+    auto& job = *ready.job;
+    const auto& spec = job.spec().steps[ready.step];
+    auto* step = job.find_step(ready.occurrence, ready.step);
+    auto& task = step->tasks[index];
+    auto& at = *workers_.find(worker.report().id);
+    const cell_task_id id{job.id(), ready.occurrence, ready.step, index};
+    task.state = cell_task_state::starting;
+    task.worker = at.report().id;
+    task.run = run;
+    ++step->active;
+    cell_run entry;
+    entry.amount = spec.amount;
+    entry.fills = spec.fills;
+    entry.customer = job.customer();
+    entry.step_key = ready.key;
+    entry.start_until_ms = at.clock_at(now) + config::cell_start_window.count();
+    worker_call call;
+    call.order = worker_order::start;
+    call.worker = at.report().id;
+    call.address = at.report().address;
+    call.timeout_ms = config::cell_start_timeout.count();
+    call.task = id;
+    call.run = run;
+    call.payload = job.spec().payload;
+    call.checkpoint = task.checkpoint;
+    call.ticket = ticket;
+    call.lease_until_ms = entry.start_until_ms;
+    workers_.add_run(at, {id, run}, std::move(entry));
+    if (!job.has_started())
+    {
+        job.note_started();
+        context_.counters.observe(
+            "carobcourse_job_wait_seconds",
+            std::chrono::milliseconds(std::max<std::int64_t>(
+                0, context_.unix_ms - job.accepted_unix_ms())));
+    }
+    context_.log(log_code::cell_task_started,
+                 fmt::format("task={}.{}.{}.{} run={} worker={} room_cpu={} "
+                             "room_memory_mb={} config={} epoch={}",
+                             id.job, id.occurrence, id.step, id.index, run,
+                             at.report().id, at.room().cpu_millis,
+                             at.room().memory_mb, context_.config->version(),
+                             row().epoch));
+    pending_call pending;
+    pending.key = {id, run};
+    send_call(now, agent_for(at, 0), std::move(call), std::move(pending));
+}
+
+void cell_owner::place_tasks(time_point now, ready_step& ready)
+{
+    const auto& spec = ready.job->spec().steps[ready.step];
+    auto* step = ready.job->find_step(ready.occurrence, ready.step);
+    if (ready.job->durable)
+    {
+        const auto usable = candidates(now, ready, true);
+        for (std::uint32_t i = 0; i < step->tasks.size(); ++i)
+        {
+            auto& task = step->tasks[i];
+            if (task.state != cell_task_state::waiting)
+                continue;
+            if (!within_cap(*ready.job, spec.amount))
+                return;
+            const auto* best = choose_worker(usable, spec, ready.key);
+            if (!best)
+                break;
+            start_task(now, ready, i, *best->worker, best->ticket,
+                       cell_job::next_run(task.run, row().epoch,
+                                          ready.job->accepted_epoch()));
+            --ready.waiting;
+        }
+    }
+    if (ready.waiting > 0 && ready.queue->advice &&
+        within_cap(*ready.job, spec.amount))
+        ask_advice(now, ready, workers_to_ask(now, ready));
+}
+
+void cell_owner::place_gang(time_point now, ready_step& ready)
+{
+    const auto& spec = ready.job->spec().steps[ready.step];
+    auto* step = ready.job->find_step(ready.occurrence, ready.step);
+    const auto count = static_cast<std::uint32_t>(step->tasks.size());
+    if (!within_cap(*ready.job, spec.amount * count))
+        return;
+    if (ready.job->durable)
+    {
+        const auto plan = plan_gang(candidates(now, ready, true), spec, count);
+        if (!plan.empty())
+        {
+            std::uint32_t last = 0;
+            std::string checkpoint;
+            for (const auto& task : step->tasks)
+            {
+                last = std::max(last, task.run);
+                checkpoint = std::max(checkpoint, task.checkpoint);
+            }
+            const auto run = cell_job::next_run(last, row().epoch,
+                                                ready.job->accepted_epoch());
+            std::uint32_t index = 0;
+            for (const auto& share : plan)
+            {
+                for (std::uint32_t i = 0; i < share.tasks; ++i, ++index)
+                {
+                    // One checkpoint is valid for all members.
+                    step->tasks[index].checkpoint = checkpoint;
+                    start_task(now, ready, index, *share.worker, share.ticket,
+                               run);
+                }
+            }
+            reservations_.erase(ready.key);
+            return;
+        }
+    }
+    if (!ready.queue->advice)
+    {
+        reserve(now, ready);
+        return;
+    }
+    if (step->advice.call != 0)
+        return;
+    const auto fresh = plan_gang(candidates(now, ready, false), spec, count);
+    if (!fresh.empty())
+    {
+        std::vector<std::string> names;
+        for (const auto& share : fresh)
+            names.push_back(share.worker->report().id);
+        ask_advice(now, ready, std::move(names));
+        return;
+    }
+    ask_advice(now, ready, workers_to_ask(now, ready));
+    reserve(now, ready);
+}
+
+/// Keeps workers free for a gang that does not fit now, so that small tasks
+/// do not take each gap before all members have room.
+void cell_owner::reserve(time_point now, const ready_step& ready)
+{
+    if (reservations_.count(ready.key) || !ready.job->durable)
+        return;
+    const auto& spec = ready.job->spec().steps[ready.step];
+    std::set<std::string> taken;
+    for (const auto& [key, each] : reservations_)
+        taken.insert(each.workers.begin(), each.workers.end());
+    const auto most = workers_.all().size() * reserved_percent / 100;
+    auto usable = candidates(now, ready, false);
+    std::sort(
+        usable.begin(), usable.end(),
+        [&spec](const placement_candidate& a, const placement_candidate& b)
+        {
+            const auto fits = [&spec](const placement_candidate& each)
+            { return tasks_that_fit(each.worker->room(), spec, 0); };
+            const auto room = [](const placement_candidate& each)
+            { return each.worker->room().cpu_millis; };
+            return std::make_pair(fits(a), room(a)) >
+                   std::make_pair(fits(b), room(b));
+        });
+    std::uint32_t left = spec.count;
+    reservation next;
+    next.until = now + reservation_time;
+    for (const auto& each : usable)
+    {
+        const auto& report = each.worker->report();
+        const auto fits = tasks_that_fit(report.capacity, spec, 0);
+        if (fits == 0)
+            continue;
+        if (taken.size() + next.workers.size() >= most)
+            return;
+        next.workers.insert(report.id);
+        left -= std::min(left, fits);
+        if (left == 0)
+            break;
+    }
+    if (left == 0)
+        reservations_.emplace(ready.key, std::move(next));
+}
+
+// -------------------------------------------------------------------- advice
+
+std::vector<std::string> cell_owner::workers_to_ask(time_point now,
+                                                    const ready_step& ready)
+{
+    const auto& spec = ready.job->spec().steps[ready.step];
+    auto* step = ready.job->find_step(ready.occurrence, ready.step);
+    std::vector<std::string> result;
+    if (step->advice.call != 0 || now < step->advice.ask_again_at)
+        return result;
+    const bool urgent = ready.queue->priority == 0 && !spec.gang;
+    struct option
+    {
+        const cell_worker* worker;
+        std::uint32_t fits;
+        std::uint64_t rank;
+    };
+    std::vector<option> known;
+    std::vector<option> unknown;
+    std::uint32_t known_fits = 0;
+    for (const auto& [id, worker] : workers_.all())
+    {
+        if (!is_usable(now, worker, ready.queue->service, spec))
+            continue;
+        if (!urgent && !spec.gang && is_reserved(id, ready.key))
+            continue;
+        const auto& room = spec.gang ? worker.report().capacity : worker.room();
+        const auto fits =
+            tasks_that_fit(room, spec, worker.runs_of_step(ready.key));
+        if (fits == 0)
+            continue;
+        const auto verdict = step->advice.by_worker.find(id);
+        const option each{&worker, fits, context_.random()};
+        if (verdict == step->advice.by_worker.end())
+            unknown.push_back(each);
+        else if (verdict->second.good &&
+                 now + ticket_margin >= verdict->second.valid_until)
+        {
+            known.push_back(each);
+            known_fits += fits;
+        }
+    }
+    const auto& cost = *ready.queue->advice;
+    std::size_t most = most_named;
+    if (spec.gang && cost.call_ms > 100)
+        most = most_named_gang;
+    else if (ready.queue->priority == 0)
+        most = most_named_cheap;
+    if (spec.gang)
+    {
+        // Known workers are asked for again when the gang has room on them.
+        std::sort(unknown.begin(), unknown.end(),
+                  [](const option& a, const option& b) {
+                      return a.worker->room().cpu_millis >
+                             b.worker->room().cpu_millis;
+                  });
+        known.clear();
+    }
+    else
+    {
+        std::sort(unknown.begin(), unknown.end(),
+                  [](const option& a, const option& b)
+                  { return a.rank < b.rank; });
+        // Enough known ones need no further verdicts.
+        if (known_fits >= ready.waiting)
+            unknown.clear();
+    }
+    for (const auto* list : {&known, &unknown})
+        for (const auto& each : *list)
+            if (result.size() < most)
+                result.push_back(each.worker->report().id);
+    return result;
+}
+
+void cell_owner::ask_advice(time_point now, const ready_step& ready,
+                            std::vector<std::string> workers)
+{
+    auto* step = ready.job->find_step(ready.occurrence, ready.step);
+    if (workers.empty() || step->advice.call != 0)
+        return;
+    const auto& cost = *ready.queue->advice;
+    const auto expected = advice_ms(cost, workers.size());
+    const auto host = lanes_.begin(now, expected);
+    if (!host)
+        return;
+    worker_call call;
+    call.order = worker_order::advise;
+    call.task = {ready.job->id(), ready.occurrence, ready.step, 0};
+    call.workers = workers;
+    call.timeout_ms = static_cast<std::int64_t>(2 * expected) + 1000;
+    pending_call pending;
+    pending.job = ready.job->id();
+    pending.occurrence = ready.occurrence;
+    pending.step = ready.step;
+    pending.asked = std::move(workers);
+    step->advice.call =
+        send_call(now, *host, std::move(call), std::move(pending));
+}
+
+void cell_owner::on_advice(time_point now, const pending_call& pending,
+                           const worker_answer& answer)
+{
+    lanes_.end(now, pending.agent);
+    const auto found = jobs_.find(pending.job);
+    auto* step =
+        found == jobs_.end()
+            ? nullptr
+            : found->second->find_step(pending.occurrence, pending.step);
+    if (!step)
+        return;
+    step->advice.call = 0;
+    const bool gang = found->second->spec().steps[pending.step].gang;
+    step->advice.ask_again_at = now + (gang ? ask_again_gang : ask_again);
+    if (answer.status != order_status::ok)
+    {
+        context_.counters.count("carobcourse_advice_failures_total",
+                                to_string(answer.status));
+        context_.log(log_code::cell_advice_failed,
+                     fmt::format("job={} step={} agent={} status={}",
+                                 pending.job, pending.step, pending.agent,
+                                 to_string(answer.status)));
+        return;
+    }
+    const auto* queue =
+        context_.config ? context_.config->queue_named(found->second->queue())
+                        : nullptr;
+    if (!queue || !queue->advice)
+        return;
+    for (const auto& id : pending.asked)
+        step->advice.by_worker[id].good = false;
+    const auto valid_until =
+        now + std::chrono::milliseconds(queue->advice->valid_ms) -
+        ticket_travel;
+    for (const auto& ticket : answer.tickets)
+        step->advice.by_worker[ticket.worker] = {true, ticket.ticket,
+                                                 valid_until};
+}
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/cell_owner_p.hpp
@@ -0,0 +1,287 @@
+/// The owner of the cell: takes jobs in, places their tasks on workers and
+/// records what has ended. One entry host at a time; see cell_election.
+#pragma once
+
+#include <carobcourse/types.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cell_advice_p.hpp"
+#include "cell_context_p.hpp"
+#include "cell_job_p.hpp"
+#include "cell_journal_p.hpp"
+#include "cell_order_p.hpp"
+#include "cell_placement_p.hpp"
+#include "cell_workers_p.hpp"
+
+namespace carobcourse
+{
+
+/// Entry host that makes calls for the owner.
+struct cell_agent
+{
+    std::string host;
+    std::string data_centre;
+    bool leaving = false; ///< Ends its calls and takes no further ones.
+
+    friend bool operator==(const cell_agent& a, const cell_agent& b)
+    {
+        return a.host == b.host && a.data_centre == b.data_centre &&
+               a.leaving == b.leaving;
+    }
+};
+
+/// Ways out of the owner. Used by the core thread only.
+class owner_links
+{
+public:
+    virtual ~owner_links() = default;
+    /// Lets `host` make the call. The answer comes back through
+    /// `cell_owner::on_answer`, unless the host is lost.
+    virtual void call(const std::string& host, const worker_call& call) = 0;
+    /// Answers a call of an entry host.
+    virtual void answer(const std::string& host, nlohmann::json item) = 0;
+};
+
+/// Deterministic; used by the core thread only. Times passed in never fall.
+class cell_owner
+{
+public:
+    /// `version` is that of the row that names this host as the owner.
+    cell_owner(cell_context& context, owner_links& links, owner_row row,
+               std::uint64_t version, time_point now);
+
+    /// True when the event belonged to the owner.
+    bool on_store(time_point now, const store_result& result);
+    bool on_watch(time_point now, const watch_result& result);
+    void on_answer(time_point now, const worker_answer& answer);
+    /// A call of a caller, passed on by an entry host.
+    void on_front_call(time_point now, const std::string& host,
+                       const nlohmann::json& item);
+    /// Entry hosts that can make calls, this one among them.
+    void set_agents(time_point now, std::vector<cell_agent> agents);
+    void tick(time_point now);
+    /// Acts on the events taken since the last call.
+    void finish_batch(time_point now);
+
+    bool is_deposed() const
+    {
+        return deposed_;
+    }
+    /// Gives the cell up with the next commit.
+    void release()
+    {
+        journal_.release();
+    }
+    bool is_released() const
+    {
+        return journal_.is_released();
+    }
+    const owner_row& row() const
+    {
+        return journal_.owner();
+    }
+    bool is_store_failing() const
+    {
+        return journal_.is_failing();
+    }
+    time_point last_written() const
+    {
+        return journal_.last_written();
+    }
+    /// Accepted jobs of each queue for which no task has started.
+    const std::map<std::string, std::uint64_t>& waiting() const
+    {
+        return waiting_;
+    }
+
+    // For tests and metrics.
+    const cell_workers& workers() const
+    {
+        return workers_;
+    }
+    bool is_loaded() const
+    {
+        return loaded_;
+    }
+    std::size_t job_count() const
+    {
+        return jobs_.size();
+    }
+
+private:
+    struct reply_address
+    {
+        std::string host;
+        std::uint64_t call = 0;
+    };
+    struct pending_call
+    {
+        worker_order order = worker_order::hold;
+        std::string agent;
+        std::string worker;
+        run_key key;
+        time_point sent_at;
+        time_point deadline;
+        // Of a call for advice.
+        std::string job;
+        std::uint32_t occurrence = 0;
+        std::uint32_t step = 0;
+        std::vector<std::string> asked;
+    };
+    struct reservation
+    {
+        std::set<std::string> workers;
+        time_point until;
+    };
+    /// A step that has tasks to start.
+    struct ready_step
+    {
+        order_key order;
+        cell_job* job = nullptr;
+        const queue_config* queue = nullptr;
+        std::uint32_t occurrence = 0;
+        std::uint32_t step = 0;
+        std::uint64_t key = 0;
+        std::uint32_t waiting = 0;
+    };
+    enum class load_part : std::uint8_t
+    {
+        meta,
+        jobs,
+        progress,
+        ended,
+        workers,
+        count
+    };
+
+    // Loading (cell_owner.cpp).
+    void scan(load_part part, std::string after);
+    void on_loaded(time_point now, load_part part, const store_result& result);
+    void load_rows(time_point now, load_part part,
+                   const std::vector<carobcourse::row>& rows);
+    void finish_load(time_point now);
+    void set_objective(time_point now, cell_job& job);
+
+    // Callers (cell_owner.cpp).
+    void submit(time_point now, const reply_address& from,
+                const nlohmann::json& item);
+    void cancel(time_point now, const reply_address& from,
+                const std::string& id);
+    void show(const reply_address& from, const std::string& id);
+    void reply(const reply_address& to, result_code code,
+               std::optional<job_phase> phase = {},
+               std::int64_t retry_after_ms = 0);
+    void accept(time_point now, const std::string& id);
+    void refuse_queued(time_point now);
+    void write_dirty(time_point now);
+    void finalize(time_point now, cell_job& job);
+    void on_final(time_point now, const std::string& id, job_phase phase);
+    void count_waiting();
+    double work_before(const cell_job& job) const;
+
+    // Workers (cell_owner_workers.cpp).
+    void watch_workers(time_point now);
+    void apply_worker_row(time_point now, const std::string& key,
+                          const std::string& value);
+    void on_unlisted(time_point now, const std::string& id);
+    void record_leases();
+    std::uint64_t send_call(time_point now, const std::string& agent,
+                            worker_call call, pending_call pending);
+    std::string agent_for(const cell_worker& worker, unsigned attempt) const;
+    void hold_due(time_point now);
+    void hold(time_point now, cell_worker& worker);
+    void send_stops(time_point now, cell_worker& worker);
+    void on_hold(time_point now, cell_worker& worker,
+                 const pending_call& pending, const worker_answer& answer);
+    void on_start(time_point now, cell_worker& worker,
+                  const pending_call& pending, const worker_answer& answer);
+    void on_stop(time_point now, cell_worker& worker,
+                 const pending_call& pending, const worker_answer& answer);
+    void reconcile(time_point now, cell_worker& worker,
+                   const pending_call& pending, const worker_answer& answer);
+    void adopt(time_point now, cell_worker& worker,
+               const running_report& report);
+    void on_end(time_point now, cell_worker& worker, const end_report& end);
+    void lose_runs(time_point now, cell_worker& worker, const char* reason);
+    void drop_run(time_point now, cell_worker& worker, const run_key& key);
+    void release_task(time_point now, const std::string& worker,
+                      const run_key& key);
+    void stop_gang(time_point now, cell_job& job, const cell_task_id& member);
+    void stop_run(time_point now, cell_worker& worker, const run_key& key);
+    void stop_job_runs(time_point now, const std::string& job);
+    void note_failure(time_point now, cell_worker& worker,
+                      const std::string& job);
+    void resolve_unclear(time_point now);
+
+    // Placement (cell_owner_dispatch.cpp).
+    void dispatch(time_point now);
+    std::vector<ready_step> ready_steps(time_point now);
+    bool is_usable(time_point now, const cell_worker& worker,
+                   const std::string& service, const step_spec& step) const;
+    std::vector<placement_candidate>
+    candidates(time_point now, const ready_step& ready, bool with_ticket) const;
+    void place_tasks(time_point now, ready_step& ready);
+    void place_gang(time_point now, ready_step& ready);
+    void reserve(time_point now, const ready_step& ready);
+    bool is_reserved(const std::string& worker, std::uint64_t key) const;
+    bool within_cap(const cell_job& job, const resources& more) const;
+    void ask_advice(time_point now, const ready_step& ready,
+                    std::vector<std::string> workers);
+    std::vector<std::string> workers_to_ask(time_point now,
+                                            const ready_step& ready);
+    void on_advice(time_point now, const pending_call& pending,
+                   const worker_answer& answer);
+    void start_task(time_point now, const ready_step& ready,
+                    std::uint32_t index, const cell_worker& worker,
+                    const std::string& ticket, std::uint32_t run);
+
+    cell_context& context_;
+    owner_links& links_;
+    cell_journal journal_;
+    bool deposed_ = false;
+    bool loaded_ = false;
+    std::map<op_id, load_part> loads_;
+    std::set<load_part> loaded_parts_;
+    std::map<std::string, std::string> loaded_progress_;
+    time_point claimed_at_;
+    std::vector<std::pair<std::string, nlohmann::json>> held_back_;
+
+    std::map<std::string, std::unique_ptr<cell_job>> jobs_;
+    struct ended_job
+    {
+        job_phase phase = job_phase::completed;
+        std::int64_t unix_ms = 0;
+    };
+    std::map<std::string, ended_job> ended_;
+    std::map<std::string, std::vector<reply_address>> submitters_;
+    std::set<std::string> dirty_;
+    std::set<std::string> acks_due_; ///< Workers with ends to acknowledge.
+    std::map<std::string, std::uint64_t> waiting_;
+    customer_rates rates_;
+    std::uint64_t arrivals_ = 0;
+    time_point next_count_;
+    time_point next_cleanup_;
+
+    cell_workers workers_;
+    std::optional<op_id> worker_watch_;
+    std::uint64_t worker_version_ = 0;
+    bool reread_workers_ = false;
+    time_point next_worker_watch_;
+    std::set<std::string> leased_;     ///< As recorded.
+    std::set<std::string> unresolved_; ///< May run tasks of earlier owners.
+    std::map<std::uint64_t, pending_call> calls_;
+    std::vector<cell_agent> agents_;
+
+    advice_lanes lanes_;
+    std::map<std::uint64_t, reservation> reservations_;
+    bool dispatch_due_ = false;
+};
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/cell_owner_workers.cpp
@@ -0,0 +1,721 @@
+#include "cell_owner_p.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+#include "cell_limits_p.hpp"
+
+namespace carobcourse
+{
+
+namespace
+{
+
+std::string name_of(const cell_task_id& task)
+{
+    return fmt::format("{}.{}.{}.{}", task.job, task.occurrence, task.step,
+                       task.index);
+}
+
+const char* name_of(end_kind kind)
+{
+    switch (kind)
+    {
+    case end_kind::done:
+        return "done";
+    case end_kind::failed:
+        return "failed";
+    case end_kind::stopped:
+        return "stopped";
+    case end_kind::lapsed:
+        return "lapsed";
+    case end_kind::peer_ended:
+        return "peer_ended";
+    case end_kind::incomplete:
+        break;
+    }
+    return "incomplete";
+}
+
+} // namespace
+
+// ------------------------------------------------------------ list of workers
+
+void cell_owner::watch_workers(time_point now)
+{
+    if (worker_watch_ || now < next_worker_watch_)
+        return;
+    if (reread_workers_)
+    {
+        reread_workers_ = false;
+        next_worker_watch_ = time_point::max();
+        for (auto& [id, worker] : workers_.all())
+            worker.listed = false;
+        scan(load_part::workers, "");
+        return;
+    }
+    store_watch watch;
+    watch.op = context_.next_op();
+    watch.table = context_.outside.worker_table();
+    watch.after = worker_version_;
+    watch.wait_ms = config::cell_watch_wait.count();
+    worker_watch_ = watch.op;
+    context_.out.emplace_back(std::move(watch));
+}
+
+bool cell_owner::on_watch(time_point now, const watch_result& result)
+{
+    if (!worker_watch_ || !(*worker_watch_ == result.op))
+        return false;
+    worker_watch_.reset();
+    next_worker_watch_ = now + config::cell_worker_watch_gap;
+    if (result.history_lost)
+    {
+        reread_workers_ = true;
+        return true;
+    }
+    if (result.status != store_status::ok)
+        return true;
+    worker_version_ = std::max(worker_version_, result.version);
+    for (const auto& row : result.rows)
+        apply_worker_row(now, row.key, row.value);
+    for (const auto& id : result.removed)
+        on_unlisted(now, id);
+    record_leases();
+    return true;
+}
+
+void cell_owner::apply_worker_row(time_point now, const std::string& key,
+                                  const std::string& value)
+{
+    auto report = context_.outside.read_worker(key, value);
+    if (!report)
+    {
+        context_.log(log_code::cell_row_unreadable,
+                     fmt::format("worker={} {}", key, report.error().detail));
+        return;
+    }
+    auto* worker = workers_.find(key);
+    if (!worker)
+    {
+        worker = &workers_.add(std::move(*report));
+        worker->first_seen = now;
+        worker->next_hold = now;
+        const auto& about = worker->report();
+        context_.log(log_code::cell_worker_listed,
+                     fmt::format("worker={} data_centre={} rack={} cpu={} "
+                                 "memory_mb={} draining={}",
+                                 key, about.data_centre, about.rack,
+                                 about.capacity.cpu_millis,
+                                 about.capacity.memory_mb, about.draining));
+        return;
+    }
+    if (report->draining && !worker->report().draining)
+        context_.log(
+            log_code::cell_worker_draining,
+            fmt::format("worker={} runs={}", key, worker->runs().size()));
+    worker->listed = true;
+    worker->update(std::move(*report));
+}
+
+void cell_owner::on_unlisted(time_point now, const std::string& id)
+{
+    auto* worker = workers_.find(id);
+    if (!worker || !worker->listed)
+        return;
+    worker->listed = false;
+    worker->next_hold = now;
+    context_.log(log_code::cell_worker_unlisted,
+                 fmt::format("worker={} runs={} reachable={}", id,
+                             worker->runs().size(), worker->reachable));
+}
+
+// --------------------------------------------------------------------- calls
+
+std::string cell_owner::agent_for(const cell_worker& worker,
+                                  unsigned attempt) const
+{
+    // Beside the worker, and not the owner while there are others: its time
+    // goes to decisions.
+    std::vector<const cell_agent*> near;
+    std::vector<const cell_agent*> others;
+    for (const auto& agent : agents_)
+    {
+        if (agent.host == context_.identity.host || agent.leaving)
+            continue;
+        if (agent.data_centre == worker.report().data_centre)
+            near.push_back(&agent);
+        else
+            others.push_back(&agent);
+    }
+    const auto hash = step_key_of(worker.report().id, 0, 0);
+    if (!near.empty() && attempt % 2 == 0)
+        return near[(hash + attempt / 2) % near.size()]->host;
+    if (!others.empty() && (attempt > 0 || near.empty()))
+        return others[(hash + attempt) % others.size()]->host;
+    return near.empty() ? context_.identity.host : near.front()->host;
+}
+
+std::uint64_t cell_owner::send_call(time_point now, const std::string& agent,
+                                    worker_call call, pending_call pending)
+{
+    call.id = context_.next_call();
+    call.epoch = row().epoch;
+    pending.order = call.order;
+    pending.agent = agent;
+    pending.worker = call.worker;
+    pending.sent_at = now;
+    pending.deadline = now + std::chrono::milliseconds(call.timeout_ms) +
+                       config::cell_relay_margin;
+    const auto id = call.id;
+    calls_.emplace(id, std::move(pending));
+    links_.call(agent, call);
+    return id;
+}
+
+void cell_owner::on_answer(time_point now, const worker_answer& answer)
+{
+    const auto found = calls_.find(answer.id);
+    if (found == calls_.end())
+        return;
+    const auto pending = std::move(found->second);
+    calls_.erase(found);
+    dispatch_due_ = true;
+    if (pending.order == worker_order::advise)
+    {
+        on_advice(now, pending, answer);
+        return;
+    }
+    auto* worker = workers_.find(pending.worker);
+    if (!worker)
+        return;
+    if (answer.clock_ms >= 0 &&
+        answer.status != order_status::other_incarnation)
+        worker->note_clock(now, answer.clock_ms);
+    if (answer.status == order_status::fenced)
+    {
+        // Another owner has reached the worker. The store tells who it is.
+        context_.log(
+            log_code::cell_fenced,
+            fmt::format("worker={} epoch={}", pending.worker, row().epoch));
+        context_.counters.count("carobcourse_fenced_total");
+    }
+    switch (pending.order)
+    {
+    case worker_order::hold:
+        on_hold(now, *worker, pending, answer);
+        break;
+    case worker_order::start:
+        on_start(now, *worker, pending, answer);
+        break;
+    case worker_order::stop:
+        on_stop(now, *worker, pending, answer);
+        break;
+    case worker_order::advise:
+    case worker_order::pace:
+        break;
+    }
+}
+
+// --------------------------------------------------------------------- holds
+
+void cell_owner::hold_due(time_point now)
+{
+    std::vector<std::string> gone;
+    for (auto& [id, worker] : workers_.all())
+    {
+        send_stops(now, worker);
+        if (worker.hold_call != 0)
+            continue;
+        if (!worker.reachable && now >= worker.lease_over())
+        {
+            if (!worker.runs().empty())
+                lose_runs(now, worker, "lease_over");
+            if (unresolved_.erase(id) > 0)
+                dispatch_due_ = true;
+            if (!worker.listed)
+            {
+                gone.push_back(id);
+                continue;
+            }
+        }
+        if (worker.ends_seen > worker.ends_durable &&
+            now < worker.hold_sent + config::cell_ack_patience)
+            continue;
+        if (now >= worker.next_hold)
+            hold(now, worker);
+    }
+    for (const auto& id : gone)
+    {
+        context_.log(log_code::cell_worker_gone, fmt::format("worker={}", id));
+        workers_.remove(id);
+        acks_due_.erase(id);
+    }
+    if (!gone.empty())
+        record_leases();
+}
+
+void cell_owner::hold(time_point now, cell_worker& worker)
+{
+    worker_call call;
+    call.order = worker_order::hold;
+    call.worker = worker.report().id;
+    call.address = worker.report().address;
+    call.acked_end = worker.ends_durable;
+    // A worker that lists ends answers at once, so there is no point in
+    // waiting; neither is there before its clock is known.
+    const bool waits = worker.held && worker.reachable &&
+                       worker.ends_seen == worker.ends_durable;
+    call.wait_ms = waits ? config::cell_hold_wait.count() : 0;
+    call.timeout_ms = call.wait_ms + config::cell_hold_timeout.count();
+    // A worker that does not answer gets no longer lease: its tasks could not
+    // run elsewhere before the end of the last one.
+    if (worker.has_clock() && worker.hold_failures == 0)
+    {
+        call.lease_until_ms =
+            worker.clock_at(now) + config::cell_worker_lease.count();
+        worker.note_lease(call.lease_until_ms);
+    }
+    worker.hold_sent = now;
+    worker.hold_call = send_call(now, agent_for(worker, worker.hold_failures),
+                                 std::move(call), {});
+}
+
+void cell_owner::on_hold(time_point now, cell_worker& worker,
+                         const pending_call& pending,
+                         const worker_answer& answer)
+{
+    worker.hold_call = 0;
+    const auto& id = worker.report().id;
+    const bool reborn = answer.status == order_status::ok &&
+                        answer.born_ms != 0 && worker.born_ms != 0 &&
+                        answer.born_ms != worker.born_ms;
+    if (answer.status == order_status::other_incarnation || reborn)
+    {
+        // What ran in the incarnation before has ended with it.
+        lose_runs(now, worker, "restarted");
+        auto report = worker.report();
+        const bool listed = worker.listed;
+        workers_.remove(id);
+        if (!listed)
+            return;
+        auto& fresh = workers_.add(std::move(report));
+        fresh.first_seen = now;
+        fresh.next_hold = now + config::cell_hold_retry;
+        unresolved_.erase(fresh.report().id);
+        return;
+    }
+    if (answer.status != order_status::ok)
+    {
+        ++worker.hold_failures;
+        if (worker.reachable && worker.hold_failures > 1)
+        {
+            worker.reachable = false;
+            context_.log(log_code::cell_worker_unreachable,
+                         fmt::format("worker={} status={} runs={} agent={}", id,
+                                     to_string(answer.status),
+                                     worker.runs().size(), pending.agent));
+        }
+        worker.next_hold = now + config::cell_hold_retry;
+        return;
+    }
+    if (!worker.reachable)
+        context_.log(log_code::cell_worker_reachable,
+                     fmt::format("worker={} after_failures={}", id,
+                                 worker.hold_failures));
+    worker.hold_failures = 0;
+    worker.reachable = true;
+    worker.born_ms = answer.born_ms;
+    const bool first = !worker.held;
+    worker.held = true;
+    reconcile(now, worker, pending, answer);
+    if (first && unresolved_.erase(id) > 0)
+        dispatch_due_ = true;
+    worker.next_hold = now;
+}
+
+void cell_owner::reconcile(time_point now, cell_worker& worker,
+                           const pending_call& pending,
+                           const worker_answer& answer)
+{
+    std::set<run_key> named;
+    for (const auto& report : answer.running)
+    {
+        const run_key key{report.task, report.run};
+        named.insert(key);
+        auto* run = worker.find(key);
+        if (!run)
+        {
+            adopt(now, worker, report);
+            continue;
+        }
+        if (run->state == run_state::unclear)
+        {
+            run->state = run_state::running;
+            run->seen_at = now;
+        }
+        if (!report.checkpoint.empty())
+            run->checkpoint = report.checkpoint;
+    }
+    for (const auto& end : answer.ended)
+    {
+        named.insert({end.task, end.run});
+        if (end.number <= worker.ends_seen)
+            continue;
+        worker.ends_seen = end.number;
+        on_end(now, worker, end);
+    }
+    if (worker.ends_seen > worker.ends_durable)
+        acks_due_.insert(worker.report().id);
+    std::vector<run_key> absent;
+    for (const auto& [key, run] : worker.runs())
+    {
+        if (named.count(key))
+            continue;
+        const bool never = run.state == run_state::unclear &&
+                           answer.clock_ms >= run.start_until_ms;
+        const bool lost =
+            run.state == run_state::running && pending.sent_at > run.seen_at;
+        if (never || lost)
+            absent.push_back(key);
+    }
+    for (const auto& key : absent)
+    {
+        context_.log(log_code::cell_task_lost,
+                     fmt::format("task={} run={} worker={} reason=not_listed",
+                                 name_of(key.first), key.second,
+                                 worker.report().id));
+        drop_run(now, worker, key);
+    }
+}
+
+void cell_owner::adopt(time_point now, cell_worker& worker,
+                       const running_report& report)
+{
+    const auto found = jobs_.find(report.task.job);
+    auto* job = found == jobs_.end() ? nullptr : found->second.get();
+    auto* task = job ? job->find(report.task) : nullptr;
+    cell_run run;
+    run.state = run_state::running;
+    run.seen_at = now;
+    run.checkpoint = report.checkpoint;
+    run.step_key =
+        step_key_of(report.task.job, report.task.occurrence, report.task.step);
+    if (task)
+    {
+        const auto& spec = job->spec().steps[report.task.step];
+        run.amount = spec.amount;
+        run.fills = spec.fills;
+        run.customer = job->customer();
+    }
+    run.amount_unknown = !task;
+    const bool wanted = task && task->state == cell_task_state::unclear &&
+                        !is_final(job->phase());
+    run.stop_wanted = !wanted;
+    workers_.add_run(worker, {report.task, report.run}, run);
+    context_.log(log_code::cell_task_adopted,
+                 fmt::format("task={} run={} worker={} wanted={} epoch={}",
+                             name_of(report.task), report.run,
+                             worker.report().id, wanted, row().epoch));
+    if (!wanted)
+        return;
+    task->state = cell_task_state::running;
+    task->worker = worker.report().id;
+    task->run = report.run;
+    job->note_started();
+}
+
+void cell_owner::on_end(time_point now, cell_worker& worker,
+                        const end_report& end)
+{
+    const run_key key{end.task, end.run};
+    const auto& id = worker.report().id;
+    context_.counters.count("carobcourse_task_ends_total", name_of(end.kind));
+    context_.log(log_code::cell_task_ended,
+                 fmt::format("task={} run={} worker={} end={} number={}",
+                             name_of(end.task), end.run, id, name_of(end.kind),
+                             end.number));
+    const auto found = jobs_.find(end.task.job);
+    auto* job = found == jobs_.end() ? nullptr : found->second.get();
+    auto* task = job ? job->find(end.task) : nullptr;
+    workers_.remove_run(worker, key);
+    if (!task || is_final(job->phase()))
+        return;
+    if (!end.checkpoint.empty())
+        task->checkpoint = end.checkpoint;
+    if (end.kind == end_kind::done)
+    {
+        worker.failures = 0;
+        worker.failed_jobs.clear();
+        job->mark_done(end.task);
+        dirty_.insert(job->id());
+        return;
+    }
+    release_task(now, id, key);
+    const auto& spec = job->spec().steps[end.task.step];
+    if (end.kind == end_kind::failed)
+    {
+        const auto* queue = context_.config
+                                ? context_.config->queue_named(job->queue())
+                                : nullptr;
+        note_failure(now, worker, end.task.job);
+        job->mark_failed(end.task, end.run, queue ? queue->attempts : 1);
+        dirty_.insert(job->id());
+        if (is_final(job->phase()))
+            stop_job_runs(now, job->id());
+    }
+    if (spec.gang)
+        stop_gang(now, *job, end.task);
+}
+
+void cell_owner::release_task(time_point now, const std::string& worker,
+                              const run_key& key)
+{
+    const auto found = jobs_.find(key.first.job);
+    if (found == jobs_.end())
+        return;
+    auto* task = found->second->find(key.first);
+    auto* step = found->second->find_step(key.first.occurrence, key.first.step);
+    if (!task || task->worker != worker || task->run != key.second ||
+        (task->state != cell_task_state::starting &&
+         task->state != cell_task_state::running))
+        return;
+    task->state = cell_task_state::waiting;
+    --step->active;
+    step->ready_since = now;
+    dispatch_due_ = true;
+}
+
+void cell_owner::drop_run(time_point now, cell_worker& worker,
+                          const run_key& key)
+{
+    const auto* run = worker.find(key);
+    if (!run)
+        return;
+    const auto found = jobs_.find(key.first.job);
+    auto* job = found == jobs_.end() ? nullptr : found->second.get();
+    auto* task = job ? job->find(key.first) : nullptr;
+    if (task && !run->checkpoint.empty())
+        task->checkpoint = run->checkpoint;
+    workers_.remove_run(worker, key);
+    release_task(now, worker.report().id, key);
+    if (task && job->spec().steps[key.first.step].gang)
+        stop_gang(now, *job, key.first);
+}
+
+void cell_owner::lose_runs(time_point now, cell_worker& worker,
+                           const char* reason)
+{
+    std::vector<run_key> keys;
+    for (const auto& [key, run] : worker.runs())
+        keys.push_back(key);
+    for (const auto& key : keys)
+    {
+        context_.log(log_code::cell_task_lost,
+                     fmt::format("task={} run={} worker={} reason={}",
+                                 name_of(key.first), key.second,
+                                 worker.report().id, reason));
+        drop_run(now, worker, key);
+    }
+}
+
+/// Members of a gang that is no longer complete do no work; they are stopped
+/// so that the gang can start again as a whole.
+void cell_owner::stop_gang(time_point now, cell_job& job,
+                           const cell_task_id& member)
+{
+    auto* step = job.find_step(member.occurrence, member.step);
+    if (!step)
+        return;
+    for (std::uint32_t i = 0; i < step->tasks.size(); ++i)
+    {
+        const auto& task = step->tasks[i];
+        if (task.state != cell_task_state::starting &&
+            task.state != cell_task_state::running)
+            continue;
+        if (auto* worker = workers_.find(task.worker))
+            stop_run(now, *worker,
+                     {{job.id(), member.occurrence, member.step, i}, task.run});
+    }
+}
+
+void cell_owner::stop_run(time_point now, cell_worker& worker,
+                          const run_key& key)
+{
+    auto* run = worker.find(key);
+    if (!run || run->stop_wanted)
+        return;
+    run->stop_wanted = true;
+    run->next_stop = now;
+}
+
+void cell_owner::stop_job_runs(time_point now, const std::string& job)
+{
+    for (auto& [id, worker] : workers_.all())
+    {
+        std::vector<run_key> keys;
+        for (const auto& [key, run] : worker.runs())
+            if (key.first.job == job)
+                keys.push_back(key);
+        for (const auto& key : keys)
+            stop_run(now, worker, key);
+    }
+}
+
+void cell_owner::note_failure(time_point now, cell_worker& worker,
+                              const std::string& job)
+{
+    ++worker.failures;
+    worker.failed_jobs.insert(job);
+    if (worker.failures < config::cell_failing_worker ||
+        worker.failed_jobs.size() < 2)
+        return;
+    worker.avoid_until = now + config::cell_failing_pause;
+    context_.log(log_code::worker_quarantined,
+                 fmt::format("worker={} failures={} jobs={}",
+                             worker.report().id, worker.failures,
+                             worker.failed_jobs.size()));
+}
+
+/// Ends the wait for workers of earlier owners once each has said what it
+/// runs or can run nothing any more.
+void cell_owner::resolve_unclear(time_point now)
+{
+    if (!unresolved_.empty())
+    {
+        const auto longest = config::cell_worker_lease *
+                             (100 + 2 * config::cell_clock_drift_percent) / 100;
+        if (now < claimed_at_ + longest)
+            return;
+        context_.log(log_code::cell_workers_unresolved,
+                     fmt::format("count={} first={}", unresolved_.size(),
+                                 *unresolved_.begin()));
+        unresolved_.clear();
+    }
+    for (auto& [id, job] : jobs_)
+    {
+        for (auto& [number, occurrence] : job->occurrences())
+        {
+            for (auto& step : occurrence.steps)
+            {
+                for (auto& task : step.tasks)
+                {
+                    if (task.state != cell_task_state::unclear)
+                        continue;
+                    task.state = cell_task_state::waiting;
+                    --step.active;
+                    dispatch_due_ = true;
+                }
+            }
+        }
+    }
+}
+
+// ----------------------------------------------------------- starts and stops
+
+void cell_owner::on_start(time_point now, cell_worker& worker,
+                          const pending_call& pending,
+                          const worker_answer& answer)
+{
+    auto* run = worker.find(pending.key);
+    if (!run)
+        return;
+    if (answer.status == order_status::ok)
+    {
+        worker.silent_starts = 0;
+        run->state = run_state::running;
+        run->seen_at = now;
+        const auto found = jobs_.find(pending.key.first.job);
+        auto* task = found == jobs_.end()
+                         ? nullptr
+                         : found->second->find(pending.key.first);
+        if (task && task->worker == pending.worker &&
+            task->run == pending.key.second &&
+            task->state == cell_task_state::starting)
+            task->state = cell_task_state::running;
+        return;
+    }
+    context_.counters.count("carobcourse_start_failures_total",
+                            to_string(answer.status));
+    context_.log(log_code::cell_start_failed,
+                 fmt::format("task={} run={} worker={} status={} agent={}",
+                             name_of(pending.key.first), pending.key.second,
+                             pending.worker, to_string(answer.status),
+                             pending.agent));
+    if (answer.status == order_status::unknown)
+    {
+        // Settled by a later list, after the time in which it is taken.
+        run->state = run_state::unclear;
+        worker.next_hold = std::min(worker.next_hold, now);
+        worker.avoid_until =
+            now + std::min<duration>(config::cell_silent_pause *
+                                         ++worker.silent_starts,
+                                     config::cell_silent_pause_most);
+        return;
+    }
+    if (answer.status == order_status::no_room ||
+        answer.status == order_status::unhealthy)
+        worker.avoid_until =
+            std::max(worker.avoid_until, now + config::cell_refusal_pause);
+    if (answer.status == order_status::unhealthy)
+        note_failure(now, worker, pending.key.first.job);
+    if (answer.status == order_status::bad_ticket)
+    {
+        const auto found = jobs_.find(pending.key.first.job);
+        auto* step =
+            found == jobs_.end()
+                ? nullptr
+                : found->second->find_step(pending.key.first.occurrence,
+                                           pending.key.first.step);
+        if (step)
+            step->advice.by_worker[pending.worker].valid_until = {};
+    }
+    drop_run(now, worker, pending.key);
+}
+
+void cell_owner::send_stops(time_point now, cell_worker& worker)
+{
+    for (const auto& [key, seen] : worker.runs())
+    {
+        if (!seen.stop_wanted || seen.stop_call != 0 || now < seen.next_stop ||
+            seen.state == run_state::ordered)
+            continue;
+        worker_call call;
+        call.order = worker_order::stop;
+        call.worker = worker.report().id;
+        call.address = worker.report().address;
+        call.task = key.first;
+        call.run = key.second;
+        call.timeout_ms = config::cell_start_timeout.count();
+        pending_call pending;
+        pending.key = key;
+        auto* run = worker.find(key);
+        run->stop_call = send_call(now, agent_for(worker, worker.hold_failures),
+                                   std::move(call), std::move(pending));
+    }
+}
+
+void cell_owner::on_stop(time_point now, cell_worker& worker,
+                         const pending_call& pending,
+                         const worker_answer& answer)
+{
+    auto* run = worker.find(pending.key);
+    if (!run)
+        return;
+    run->stop_call = 0;
+    run->next_stop = now + config::cell_stop_retry;
+    if (answer.status == order_status::ok)
+    {
+        run->next_stop = now + std::chrono::seconds(2);
+        // A run that is not there is refused from now on; the next list that
+        // was asked for later shows whether it was.
+        if (run->state == run_state::unclear)
+        {
+            run->state = run_state::running;
+            run->seen_at = now;
+        }
+        worker.next_hold = std::min(worker.next_hold, now);
+    }
+}
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/cell_placement.cpp
@@ -0,0 +1,125 @@
+#include "cell_placement_p.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+
+namespace carobcourse
+{
+
+namespace
+{
+
+/// What stays free of the scarcer of processors and memory, in thousandths.
+std::int64_t left_over(const cell_worker& worker, const step_spec& step)
+{
+    const auto room = worker.room() - step.amount;
+    const auto& all = worker.report().capacity;
+    constexpr std::int64_t whole = 1000;
+    const auto cpu =
+        all.cpu_millis > 0 ? room.cpu_millis * whole / all.cpu_millis : whole;
+    const auto memory =
+        all.memory_mb > 0 ? room.memory_mb * whole / all.memory_mb : whole;
+    return cpu + memory;
+}
+
+bool is_far(const cell_worker& worker, const step_spec& step)
+{
+    return !step.data_rack.empty() && worker.report().rack != step.data_rack;
+}
+
+std::vector<gang_share> fill(std::vector<gang_share> rooms, std::uint32_t count)
+{
+    std::stable_sort(rooms.begin(), rooms.end(),
+                     [](const gang_share& a, const gang_share& b)
+                     { return a.tasks > b.tasks; });
+    std::vector<gang_share> plan;
+    for (auto& each : rooms)
+    {
+        if (count == 0)
+            break;
+        each.tasks = std::min(each.tasks, count);
+        count -= each.tasks;
+        plan.push_back(std::move(each));
+    }
+    if (count > 0)
+        plan.clear();
+    return plan;
+}
+
+} // namespace
+
+std::uint32_t tasks_that_fit(const resources& room, const step_spec& step,
+                             std::uint32_t already_there)
+{
+    auto most = std::numeric_limits<std::int64_t>::max();
+    const auto limit = [&most](std::int64_t have, std::int64_t need)
+    {
+        if (need > 0)
+            most = std::min(most, std::max<std::int64_t>(0, have) / need);
+    };
+    if (!step.fills)
+        limit(room.cpu_millis, step.amount.cpu_millis);
+    limit(room.memory_mb, step.amount.memory_mb);
+    limit(room.accelerators, step.amount.accelerators);
+    if (step.max_per_worker > 0)
+        most = std::min<std::int64_t>(most,
+                                      step.max_per_worker > already_there
+                                          ? step.max_per_worker - already_there
+                                          : 0);
+    return static_cast<std::uint32_t>(std::min<std::int64_t>(most, step.count));
+}
+
+const placement_candidate*
+choose_worker(const std::vector<placement_candidate>& candidates,
+              const step_spec& step, std::uint64_t step_key)
+{
+    const placement_candidate* best = nullptr;
+    std::pair<bool, std::int64_t> best_rank;
+    for (const auto& each : candidates)
+    {
+        const auto& worker = *each.worker;
+        if (tasks_that_fit(worker.room(), step,
+                           worker.runs_of_step(step_key)) == 0)
+            continue;
+        const std::pair<bool, std::int64_t> rank{is_far(worker, step),
+                                                 left_over(worker, step)};
+        if (best && !(rank < best_rank))
+            continue;
+        best = &each;
+        best_rank = rank;
+    }
+    return best;
+}
+
+std::vector<gang_share>
+plan_gang(const std::vector<placement_candidate>& candidates,
+          const step_spec& step, std::uint32_t count)
+{
+    std::vector<gang_share> rooms;
+    std::map<std::string, std::vector<gang_share>> by_rack;
+    for (const auto& each : candidates)
+    {
+        const auto fits = tasks_that_fit(each.worker->room(), step, 0);
+        if (fits == 0)
+            continue;
+        rooms.push_back({each.worker, each.ticket, fits});
+        if (step.same_rack || !step.data_rack.empty())
+            by_rack[each.worker->report().rack].push_back(rooms.back());
+    }
+    if (!step.data_rack.empty())
+    {
+        auto plan = fill(by_rack[step.data_rack], count);
+        if (!plan.empty())
+            return plan;
+    }
+    for (auto& [rack, inside] : by_rack)
+    {
+        auto plan = fill(std::move(inside), count);
+        if (!plan.empty())
+            return plan;
+    }
+    return fill(std::move(rooms), count);
+}
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/cell_placement_p.hpp
@@ -0,0 +1,47 @@
+/// Choice of workers for tasks and gangs. Pure decisions over the book of
+/// workers.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cell_workers_p.hpp"
+
+namespace carobcourse
+{
+
+/// A worker that may take tasks of a step.
+struct placement_candidate
+{
+    const cell_worker* worker = nullptr;
+    std::string ticket;
+};
+
+/// Tasks of a gang for one worker.
+struct gang_share
+{
+    const cell_worker* worker = nullptr;
+    std::string ticket;
+    std::uint32_t tasks = 0;
+};
+
+/// Tasks of the step that fit into `room`, at most its limit on a worker.
+std::uint32_t tasks_that_fit(const resources& room, const step_spec& step,
+                             std::uint32_t already_there);
+
+/// Tightest fit, preferring the rack of the data; null when none fits.
+///
+/// Answers a cell that is almost full with gangs among its work: small tasks
+/// fill gaps and leave whole workers to the gangs.
+const placement_candidate*
+choose_worker(const std::vector<placement_candidate>& candidates,
+              const step_spec& step, std::uint64_t step_key);
+
+/// Workers for all `count` tasks of a gang, empty when they do not fit at
+/// once. Prefers one rack where the step asks for it, and few workers.
+std::vector<gang_share>
+plan_gang(const std::vector<placement_candidate>& candidates,
+          const step_spec& step, std::uint32_t count);
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/cell_types.cpp
@@ -0,0 +1,59 @@
+#include "cell_types_p.hpp"
+
+#include <array>
+#include <fmt/format.h>
+
+namespace carobcourse
+{
+
+namespace
+{
+
+constexpr std::array<const char*, 5> phase_names = {
+    "queued", "running", "completed", "failed", "cancelled"};
+
+} // namespace
+
+std::optional<error> check_work(const work_spec& spec)
+{
+    const auto bad = [](std::string detail) {
+        return error{result_code::bad_request, std::move(detail)};
+    };
+    if (spec.steps.empty())
+        return bad("the job has no steps");
+    if (spec.occurrences > 0 && spec.interval_ms < 0)
+        return bad("the interval is negative");
+    for (std::size_t i = 0; i < spec.steps.size(); ++i)
+    {
+        const auto& step = spec.steps[i];
+        if (step.count == 0)
+            return bad(fmt::format("step {} has no tasks", i));
+        if (step.amount.has_negative() || step.estimate_ms < 0)
+            return bad(fmt::format("step {} has a negative amount", i));
+        for (const auto before : step.after)
+        {
+            if (before >= i)
+                return bad(fmt::format(
+                    "step {} waits for step {}, which is not before it", i,
+                    before));
+        }
+    }
+    return std::nullopt;
+}
+
+const char* to_string(job_phase phase)
+{
+    return phase_names[static_cast<std::size_t>(phase)];
+}
+
+std::optional<job_phase> job_phase_from(const std::string& name)
+{
+    for (std::size_t i = 0; i < phase_names.size(); ++i)
+    {
+        if (name == phase_names[i])
+            return static_cast<job_phase>(i);
+    }
+    return std::nullopt;
+}
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/cell_workers.cpp
@@ -0,0 +1,145 @@
+#include "cell_workers_p.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "cell_limits_p.hpp"
+
+namespace carobcourse
+{
+
+namespace
+{
+
+resources room_taken(const cell_run& run)
+{
+    auto amount = run.amount;
+    if (run.fills)
+        amount.cpu_millis = 0;
+    return amount;
+}
+
+} // namespace
+
+cell_run* cell_worker::find(const run_key& key)
+{
+    const auto found = runs_.find(key);
+    return found == runs_.end() ? nullptr : &found->second;
+}
+
+std::uint32_t cell_worker::runs_of_step(std::uint64_t step_key) const
+{
+    const auto found = by_step_.find(step_key);
+    return found == by_step_.end() ? 0 : found->second;
+}
+
+bool cell_worker::has_unknown_run() const
+{
+    return std::any_of(runs_.begin(), runs_.end(),
+                       [](const auto& each)
+                       { return each.second.amount_unknown; });
+}
+
+void cell_worker::note_clock(time_point now, std::int64_t clock_ms)
+{
+    // Answers overtake each other; an older reading would only be less exact.
+    if (clock_ms < clock_ms_)
+        return;
+    clock_ms_ = clock_ms;
+    clock_read_ = now;
+}
+
+std::int64_t cell_worker::clock_at(time_point now) const
+{
+    const auto passed =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - clock_read_)
+            .count();
+    return clock_ms_ + passed * (100 - config::cell_clock_drift_percent) / 100;
+}
+
+time_point cell_worker::lease_over() const
+{
+    if (clock_ms_ < 0 || lease_ms_ == 0)
+        return first_seen + config::cell_worker_lease *
+                                (100 + 2 * config::cell_clock_drift_percent) /
+                                100;
+    const auto left = std::max<std::int64_t>(0, lease_ms_ - clock_ms_);
+    return clock_read_ +
+           std::chrono::milliseconds(
+               left * 100 / (100 - config::cell_clock_drift_percent) + 1);
+}
+
+cell_worker* cell_workers::find(const std::string& id)
+{
+    const auto found = workers_.find(id);
+    return found == workers_.end() ? nullptr : &found->second;
+}
+
+cell_worker& cell_workers::add(worker_report report)
+{
+    const auto id = report.id;
+    return workers_.emplace(id, cell_worker(std::move(report))).first->second;
+}
+
+void cell_workers::remove(const std::string& id)
+{
+    workers_.erase(id);
+}
+
+void cell_workers::add_run(cell_worker& worker, const run_key& key,
+                           cell_run run)
+{
+    worker.used_ += room_taken(run);
+    usage_[run.customer] += run.amount;
+    ++worker.by_step_[run.step_key];
+    worker.runs_.emplace(key, std::move(run));
+}
+
+void cell_workers::remove_run(cell_worker& worker, const run_key& key)
+{
+    const auto found = worker.runs_.find(key);
+    if (found == worker.runs_.end())
+        return;
+    const auto& run = found->second;
+    worker.used_ -= room_taken(run);
+    usage_[run.customer] -= run.amount;
+    if (--worker.by_step_[run.step_key] == 0)
+        worker.by_step_.erase(run.step_key);
+    worker.runs_.erase(found);
+}
+
+resources cell_workers::usage_of(const std::string& customer) const
+{
+    const auto found = usage_.find(customer);
+    return found == usage_.end() ? resources{} : found->second;
+}
+
+resources cell_workers::capacity() const
+{
+    resources sum;
+    for (const auto& [id, worker] : workers_)
+    {
+        if (worker.held && worker.reachable && !worker.report().draining)
+            sum += worker.report().capacity;
+    }
+    return sum;
+}
+
+resources cell_workers::used() const
+{
+    resources sum;
+    for (const auto& [id, worker] : workers_)
+        sum += worker.used();
+    return sum;
+}
+
+std::uint64_t step_key_of(const std::string& job, std::uint32_t occurrence,
+                          std::uint32_t step)
+{
+    const auto name = fmt::format("{}.{}.{}", job, occurrence, step);
+    return XXH64(name.data(), name.size(), 0);
+}
+
+} // namespace carobcourse
--- /dev/null
+++ b/src/cell_workers_p.hpp
@@ -0,0 +1,158 @@
+/// Workers of the cell: what runs where, what room is left, and how long a
+/// worker that does not answer may still be running its tasks.
+#pragma once
+
+#include <carobcourse/types.hpp>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cell_event_p.hpp"
+#include "cell_types_p.hpp"
+
+namespace carobcourse
+{
+
+enum class run_state : std::uint8_t
+{
+    ordered, ///< The start is in flight.
+    unclear, ///< The start had no answer; it runs, may still run, or never.
+    running
+};
+
+/// One run of a task on a worker. Holds its room until its end is known.
+struct cell_run
+{
+    resources amount;
+    std::string customer;
+    bool fills = false; ///< Takes no processor room.
+    /// The job is not known any more, and with it what the run takes.
+    bool amount_unknown = false;
+    run_state state = run_state::ordered;
+    std::int64_t start_until_ms = 0; ///< Worker's clock: refused later.
+    time_point seen_at;              ///< Confirmed by the worker.
+    bool stop_wanted = false;
+    time_point next_stop;
+    std::uint64_t stop_call = 0;
+    std::string checkpoint;
+    std::uint64_t step_key = 0; ///< Counts runs of one step on the worker.
+};
+
+using run_key = std::pair<cell_task_id, std::uint32_t>;
+
+/// A worker by incarnation.
+class cell_worker
+{
+public:
+    explicit cell_worker(worker_report report) : report_(std::move(report)) {}
+
+    const worker_report& report() const
+    {
+        return report_;
+    }
+    void update(worker_report report)
+    {
+        report_ = std::move(report);
+    }
+    const std::map<run_key, cell_run>& runs() const
+    {
+        return runs_;
+    }
+    cell_run* find(const run_key& key);
+    const resources& used() const
+    {
+        return used_;
+    }
+    resources room() const
+    {
+        return report_.capacity - used_;
+    }
+    std::uint32_t runs_of_step(std::uint64_t step_key) const;
+    /// True while something runs there that may take any part of the room.
+    bool has_unknown_run() const;
+
+    /// Notes the worker's clock as read from an answer that arrived `now`.
+    void note_clock(time_point now, std::int64_t clock_ms);
+    bool has_clock() const
+    {
+        return clock_ms_ >= 0;
+    }
+    /// At most the worker's clock at `now`.
+    std::int64_t clock_at(time_point now) const;
+    /// Largest lease end that was ever sent, on the worker's clock.
+    void note_lease(std::int64_t until_ms)
+    {
+        lease_ms_ = std::max(lease_ms_, until_ms);
+    }
+    /// Moment after which nothing granted by this owner runs any more, however
+    /// slow the worker's clock.
+    time_point lease_over() const;
+
+    // Book-keeping of the owner.
+    bool listed = true;
+    bool held = false; ///< Has answered a hold of this epoch.
+    bool reachable = true;
+    time_point first_seen;
+    std::int64_t born_ms = 0;
+    std::uint64_t ends_seen = 0;
+    std::uint64_t ends_durable = 0;
+    std::uint64_t hold_call = 0;
+    time_point hold_sent;
+    time_point next_hold;
+    unsigned hold_failures = 0;
+    time_point avoid_until;
+    unsigned silent_starts = 0; ///< Without an answer, in a row.
+    unsigned failures = 0;      ///< In a row.
+    std::set<std::string> failed_jobs;
+
+private:
+    friend class cell_workers;
+
+    worker_report report_;
+    std::map<run_key, cell_run> runs_;
+    std::map<std::uint64_t, std::uint32_t> by_step_;
+    resources used_;
+    std::int64_t clock_ms_ = -1;
+    time_point clock_read_;
+    std::int64_t lease_ms_ = 0;
+};
+
+/// All workers and what each customer has running. Core thread only.
+class cell_workers
+{
+public:
+    std::map<std::string, cell_worker>& all()
+    {
+        return workers_;
+    }
+    const std::map<std::string, cell_worker>& all() const
+    {
+        return workers_;
+    }
+    cell_worker* find(const std::string& id);
+    cell_worker& add(worker_report report);
+    void remove(const std::string& id);
+
+    void add_run(cell_worker& worker, const run_key& key, cell_run run);
+    /// Frees the room of a run; unknown ones are ignored.
+    void remove_run(cell_worker& worker, const run_key& key);
+
+    /// What runs, may run or is being stopped for a customer.
+    resources usage_of(const std::string& customer) const;
+    /// Capacity of workers that may take new work, and what is used of it.
+    resources capacity() const;
+    resources used() const;
+
+private:
+    std::map<std::string, cell_worker> workers_;
+    std::map<std::string, resources> usage_;
+};
+
+/// Names a step of an occurrence for counting.
+std::uint64_t step_key_of(const std::string& job, std::uint32_t occurrence,
+                          std::uint32_t step);
+
+} // namespace carobcourse
--- a/src/event_p.hpp
+++ b/src/event_p.hpp
@@ -23,7 +23,8 @@
     ownership,
     jobs,
     requests,
-    allotments
+    allotments,
+    cell
 };
 
 /// Names one operation of a component towards the outside.
@@ -81,6 +82,8 @@
     std::string key;
     std::uint64_t version = 0;
     std::string value; ///< JSON text.
+    /// Set where rows of several tables come together.
+    std::string table = {};
 };
 
 struct row_write
@@ -132,7 +135,11 @@
     store_status status = store_status::unknown;
     std::size_t conflict_index = 0;
     std::vector<std::uint64_t> versions; ///< Of a commit, in write order.
-    std::vector<row> rows;               ///< Of a read or scan.
+    /// Of a read or scan; after a conflict the rows that were expected to be
+    /// otherwise, where the service tells them.
+    std::vector<row> rows;
+    std::uint64_t version = 0; ///< Newest version of the service, if told.
+    bool more = false;         ///< A scan was cut at its limit.
 };
 
 // ---------------------------------------------------------------- host list
--- a/src/log_event_p.hpp
+++ b/src/log_event_p.hpp
@@ -55,7 +55,40 @@
     X(input_refused, 2505, warning, "input that is no request was refused")    \
     X(peer_connected, 2601, info, "a link to an entry host is up")             \
     X(peer_lost, 2602, warning, "a link to an entry host is down")             \
-    X(peer_refused, 2603, warning, "messages of peers were refused or dropped")
+    X(peer_refused, 2603, warning,                                             \
+      "messages of peers were refused or dropped")                             \
+    X(cell_claimed, 2701, info, "this host owns the cell")                     \
+    X(cell_loaded, 2702, info, "the owner has read the state of the cell")     \
+    X(cell_owner_lost, 2703, warning, "this host no longer owns the cell")     \
+    X(cell_owner_heard, 2704, info, "the owner of the cell is another host")   \
+    X(cell_owner_silent, 2705, warning, "the owner of the cell is not heard")  \
+    X(cell_fenced, 2706, warning, "a worker has seen a later owner")           \
+    X(cell_row_unreadable, 2707, warning,                                      \
+      "a row can not be read and is left out")                                 \
+    X(cell_ready_changed, 2709, info,                                          \
+      "the readiness of this host has changed")                                \
+    X(cell_settings_reloaded, 2710, info, "the settings file was read again")  \
+    X(cell_evacuation, 2708, info,                                             \
+      "the data centres that are taken out have changed")                      \
+    X(cell_worker_listed, 2711, info, "a worker is listed")                    \
+    X(cell_worker_draining, 2712, info, "a worker is leaving")                 \
+    X(cell_worker_unlisted, 2713, warning, "a worker is no longer listed")     \
+    X(cell_worker_unreachable, 2714, warning, "a worker does not answer")      \
+    X(cell_worker_reachable, 2715, info, "a worker answers again")             \
+    X(cell_worker_gone, 2716, info, "a worker is gone and its lease is over")  \
+    X(cell_workers_unresolved, 2717, warning,                                  \
+      "workers of an earlier owner did not answer within the longest lease")   \
+    X(cell_job_refused, 2721, info, "a job is refused")                        \
+    X(cell_call_refused, 2722, info, "a call of a caller is refused")          \
+    X(cell_call_unknown, 2723, warning,                                        \
+      "a call of a caller has no known outcome")                               \
+    X(cell_task_started, 2731, info, "a task is ordered to start")             \
+    X(cell_task_ended, 2732, info, "a run of a task has ended")                \
+    X(cell_task_lost, 2733, warning, "a run of a task is gone without an end") \
+    X(cell_task_adopted, 2734, info,                                           \
+      "a worker runs a task of an earlier owner")                              \
+    X(cell_start_failed, 2735, warning, "a start of a task did not succeed")   \
+    X(cell_advice_failed, 2736, warning, "a call for advice did not succeed")
 
 enum class log_code : std::uint16_t
 {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,7 @@
 #include <CLI/CLI.hpp>
 
 #include "cli_p.hpp"
+#include "command.hpp"
 
 int main(int argc, char** argv)
 {
@@ -10,6 +11,7 @@
     int exit_status = carobcourse::exit_code::ok;
     carobcourse::add_local_commands(app, exit_status);
     carobcourse::add_client_commands(app, exit_status);
+    carobcourse::platform::add_cell_command(app, exit_status);
     try
     {
         app.parse(argc, argv);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -188,9 +188,9 @@
 void membership::on_written(time_point now, const store_result& result)
 {
     state_ = registration::absent;
-    if (result.status != store_status::ok)
+    if (result.status != store_status::ok || result.versions.empty())
         return;
-    own_version_ = result.versions.empty() ? 0 : result.versions.front();
+    own_version_ = result.versions.front();
     context_.member_row =
         row{context_.identity.host, own_version_, written_value_};
     state_ = registration::registered;
--- a/src/shell_http_client.cpp
+++ b/src/shell_http_client.cpp
@@ -21,6 +21,9 @@
 
 constexpr long connect_timeout_ms = 1000;
 constexpr int poll_ms = 500;
+/// Connections kept open; the library's own limit follows the requests in
+/// flight and would close those that are used again soon.
+constexpr long max_idle_connections = 1024;
 
 struct transfer
 {
@@ -145,6 +148,7 @@
     {
         curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
                           limits.connections_per_host);
+        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, max_idle_connections);
         thread_ = std::thread([this] { run(); });
     }
 
--- a/src/shell_http_server.cpp
+++ b/src/shell_http_server.cpp
@@ -484,7 +484,12 @@
         response.append_header(restinio::http_field::content_type,
                                reply.content_type);
         for (const auto& [name, value] : headers)
-            response.append_header(name, value);
+        {
+            if (name == "Connection" && value == "close")
+                response.connection_close();
+            else
+                response.append_header(name, value);
+        }
         response.set_body(reply.body);
         ++writing_;
         response.done([this, id = request->connection_id()](const auto&)
--- a/src/shell_platform.cpp
+++ b/src/shell_platform.cpp
@@ -77,7 +77,16 @@
     result.status = store_status::ok;
 }
 
-store_result to_store_result(const op_id& op, const http_response& response)
+/// Whether a 404 is an answer: one row can be absent, a path of the service
+/// can not.
+enum class absence : std::uint8_t
+{
+    is_answer,
+    is_failure
+};
+
+store_result to_store_result(const op_id& op, const http_response& response,
+                             absence missing)
 {
     store_result result;
     result.op = op;
@@ -91,7 +100,9 @@
     switch (response.http_status)
     {
     case http_not_found:
-        result.status = store_status::ok;
+        result.status = missing == absence::is_answer
+                            ? store_status::ok
+                            : store_status::unavailable;
         return result;
     case http_unavailable:
         result.status = store_status::unavailable;
@@ -169,10 +180,14 @@
 {
 }
 
-void http_table_service::send(const op_id& op, http_request request)
+void http_table_service::send(const op_id& op, http_request request,
+                              bool reads_one_row)
 {
-    client_.send(std::move(request), [this, op](const http_response& response)
-                 { sink_(to_store_result(op, response)); });
+    const auto missing =
+        reads_one_row ? absence::is_answer : absence::is_failure;
+    client_.send(std::move(request),
+                 [this, op, missing](const http_response& response)
+                 { sink_(to_store_result(op, response, missing)); });
 }
 
 void http_table_service::commit(const store_commit& operation)
@@ -183,7 +198,7 @@
     auto request =
         make_request("POST", base_url_ + "/v1/commit", config::store_timeout);
     request.body = json{{"ops", ops}}.dump();
-    send(operation.op, std::move(request));
+    send(operation.op, std::move(request), false);
 }
 
 void http_table_service::read(const store_read& operation)
@@ -192,7 +207,8 @@
          make_request("GET",
                       fmt::format("{}/v1/rows/{}/{}", base_url_,
                                   operation.table, url_encode(operation.key)),
-                      config::store_timeout));
+                      config::store_timeout),
+         true);
 }
 
 void http_table_service::scan(const store_scan& operation)
@@ -203,7 +219,8 @@
                                   base_url_, operation.table,
                                   url_encode(operation.prefix),
                                   url_encode(operation.after), operation.limit),
-                      config::store_timeout));
+                      config::store_timeout),
+         false);
 }
 
 // ----------------------------------------------------------------- host list
--- a/src/shell_platform_p.hpp
+++ b/src/shell_platform_p.hpp
@@ -33,7 +33,8 @@
     void scan(const store_scan& operation) override;
 
 private:
-    void send(const op_id& op, http_request request);
+    /// A 404 is an answer only where one row is read.
+    void send(const op_id& op, http_request request, bool reads_one_row);
 
     std::string base_url_;
     event_sink sink_;
--- /dev/null
+++ b/tests/cell_harness.hpp
@@ -0,0 +1,884 @@
+/// Entry hosts of a cell with small fakes of the store, the workers, the
+/// advice service and the links, on one virtual clock.
+#pragma once
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cell_codec_p.hpp"
+#include "cell_host_p.hpp"
+#include "cell_limits_p.hpp"
+
+namespace cell_test
+{
+
+using namespace carobcourse;
+using std::chrono::milliseconds;
+
+inline constexpr char operator_rows_table[] = "op";
+inline constexpr char worker_rows_table[] = "servers";
+
+/// Reads configurations by number: tests make them as values.
+class fake_rows final : public outside_rows
+{
+public:
+    std::vector<cell_config_ptr> configs;
+
+    std::string operator_table() const override
+    {
+        return operator_rows_table;
+    }
+    std::string worker_table() const override
+    {
+        return worker_rows_table;
+    }
+    tl::expected<cell_config_ptr, error>
+    read_config(const std::string& key, const std::string& value) const override
+    {
+        if (key != "config")
+            return cell_config_ptr();
+        if (value == "unreadable")
+            return tl::make_unexpected(
+                error{result_code::invalid_document, "unreadable"});
+        return configs.at(std::stoul(value));
+    }
+    std::string data_centre_out(const std::string& key) const override
+    {
+        return key.rfind("out/", 0) == 0 ? key.substr(4) : std::string();
+    }
+    tl::expected<worker_report, error>
+    read_worker(const std::string& key, const std::string& value) const override
+    {
+        const auto body = nlohmann::json::parse(value, nullptr, false);
+        if (!body.is_object())
+            return tl::make_unexpected(
+                error{result_code::invalid_document, "unreadable"});
+        worker_report report;
+        report.id = key;
+        report.service = "service";
+        report.address = key;
+        report.data_centre = body.at("dc");
+        report.rack = "r1";
+        report.capacity = {body.at("cpu"), body.at("mem"), 0};
+        report.draining = body.value("draining", false);
+        return report;
+    }
+};
+
+class fixed_entropy final : public entropy_source
+{
+public:
+    explicit fixed_entropy(std::uint64_t seed) : random_(seed) {}
+    std::string hex(std::size_t bytes) override
+    {
+        std::string out;
+        for (std::size_t i = 0; i < 2 * bytes; ++i)
+            out += "0123456789abcdef"[random_() % 16];
+        return out;
+    }
+
+private:
+    std::mt19937_64 random_;
+};
+
+/// Rows with versions; a commit is atomic.
+class fake_store
+{
+public:
+    struct cell
+    {
+        std::string value;
+        std::uint64_t version = 0;
+        bool removed = false;
+    };
+    std::map<std::string, std::map<std::string, cell>> tables;
+    std::uint64_t version = 0;
+    std::uint64_t commits = 0;
+
+    store_result commit(const store_commit& operation)
+    {
+        store_result result;
+        result.op = operation.op;
+        for (const auto& write : operation.writes)
+        {
+            if (!write.expect)
+                continue;
+            const auto& row = tables[write.table][write.key];
+            const auto at = row.removed ? 0 : row.version;
+            if (at == *write.expect)
+                continue;
+            result.status = store_status::conflict;
+            if (at != 0)
+                result.rows.push_back(
+                    {write.key, row.version, row.value, write.table});
+        }
+        if (result.status == store_status::conflict)
+            return result;
+        ++version;
+        ++commits;
+        for (const auto& write : operation.writes)
+        {
+            tables[write.table][write.key] = {write.value.value_or(""), version,
+                                              !write.value};
+            result.versions.push_back(version);
+        }
+        result.version = version;
+        result.status = store_status::ok;
+        return result;
+    }
+    void put(const std::string& table, const std::string& key,
+             std::optional<std::string> value)
+    {
+        commit({{}, {{table, key, {}, std::move(value)}}});
+    }
+    store_result read(const store_read& operation)
+    {
+        store_result result;
+        result.op = operation.op;
+        result.status = store_status::ok;
+        const auto& table = tables[operation.table];
+        const auto found = table.find(operation.key);
+        if (found != table.end() && !found->second.removed)
+            result.rows.push_back({operation.key, found->second.version,
+                                   found->second.value, operation.table});
+        result.version = version;
+        return result;
+    }
+    store_result scan(const store_scan& operation)
+    {
+        store_result result;
+        result.op = operation.op;
+        result.status = store_status::ok;
+        result.version = version;
+        for (const auto& [key, row] : tables[operation.table])
+        {
+            if (row.removed || key <= operation.after)
+                continue;
+            if (result.rows.size() == operation.limit)
+            {
+                result.more = true;
+                break;
+            }
+            result.rows.push_back(
+                {key, row.version, row.value, operation.table});
+        }
+        return result;
+    }
+    watch_result changes(const store_watch& operation)
+    {
+        watch_result result;
+        result.op = operation.op;
+        result.status = store_status::ok;
+        result.version = version;
+        for (const auto& [key, row] : tables[operation.table])
+        {
+            if (row.version <= operation.after)
+                continue;
+            if (row.removed)
+                result.removed.push_back(key);
+            else
+                result.rows.push_back(
+                    {key, row.version, row.value, operation.table});
+        }
+        return result;
+    }
+};
+
+struct fake_run
+{
+    time_point ends_at;
+    end_kind end = end_kind::done;
+    resources amount;
+};
+
+/// A worker that starts what it is told and keeps leases on its own clock.
+struct fake_worker
+{
+    std::string id;
+    resources capacity;
+    std::int64_t clock_offset_ms = 0;
+    std::int64_t lease_ms = 0; ///< On its clock.
+    std::uint64_t epoch = 0;
+    std::map<run_key, fake_run> runs;
+    std::map<cell_task_id, std::uint32_t> highest_ended;
+    std::vector<end_report> ends;
+    std::uint64_t next_end = 1;
+    bool reachable = true;
+    bool loses_answers = false;      ///< Calls take effect without an answer.
+    std::int64_t starts_late_ms = 0; ///< Starts are carried out this late.
+    std::int64_t stop_ms = 0;        ///< A stop takes this long.
+    struct waiting_hold
+    {
+        time_point until;
+        std::function<void()> answer;
+    };
+    std::vector<waiting_hold> holds;
+};
+
+class cell_world
+{
+public:
+    struct host_slot
+    {
+        std::unique_ptr<fixed_entropy> entropy;
+        std::unique_ptr<cell_host> host; ///< Null: down.
+        std::string data_centre;
+        std::vector<cell_event> inbox;
+        std::set<std::string> peers; ///< Wanted.
+        std::set<std::string> connected;
+        bool reaches_store = true;
+        bool paused = false;
+        std::uint64_t life = 0;
+        bool ready = false;
+        bool stopped = false;
+    };
+
+    time_point now = time_point(std::chrono::hours(1));
+    std::int64_t unix_offset_ms = 1700000000000;
+    fake_rows rows;
+    fake_store store;
+    std::map<std::string, fake_worker> workers;
+    std::map<std::string, host_slot> hosts;
+    std::map<call_id, caller_answer> answers;
+    bool store_down = false;
+    bool store_loses_answers = false;
+    /// Duration and end of each task.
+    std::function<fake_run(const cell_task_id&, std::uint32_t run)> plan =
+        [](const cell_task_id&, std::uint32_t) {
+            return fake_run{time_point(milliseconds(500)), end_kind::done, {}};
+        };
+    /// Whether advice lets a worker run a step.
+    std::function<bool(const std::string& worker)> is_good =
+        [](const std::string&) { return true; };
+    std::map<cell_task_id, unsigned> done_ends;
+    std::map<cell_task_id, unsigned> starts;
+    std::vector<std::string> violations;
+    std::vector<log_record> log;
+    std::set<std::pair<std::string, std::string>> cut_links;
+
+    explicit cell_world(std::size_t host_count = 3,
+                        std::size_t worker_count = 4)
+    {
+        for (std::size_t i = 0; i < worker_count; ++i)
+            add_worker("w" + std::to_string(i), "dc" + std::to_string(i % 2));
+        configure(default_queues(), default_customers());
+        for (std::size_t i = 0; i < host_count; ++i)
+            start_host("h" + std::to_string(i), "dc" + std::to_string(i % 2));
+    }
+
+    static std::vector<queue_config> default_queues()
+    {
+        queue_config batch;
+        batch.name = "batch";
+        batch.host = "example";
+        batch.prefix = "/batch/";
+        batch.service = "service";
+        batch.priority = 1;
+        batch.attempts = 3;
+        batch.stretch = 4;
+        batch.slack_ms = 3000;
+        auto urgent = batch;
+        urgent.name = "urgent";
+        urgent.prefix = "/urgent/";
+        urgent.priority = 0;
+        urgent.attempts = 2;
+        urgent.stretch = 1.5;
+        urgent.slack_ms = 250;
+        auto advised = batch;
+        advised.name = "advised";
+        advised.prefix = "/advised/";
+        advised.advice = advice_cost{8, 0.1, 1500};
+        return {batch, urgent, advised};
+    }
+    static std::vector<customer_config> default_customers()
+    {
+        return {{"big", {"key-big"}, 50, {}},
+                {"small", {"key-small"}, 50, {4000, 0, 0}}};
+    }
+    void configure(std::vector<queue_config> queues,
+                   std::vector<customer_config> customers)
+    {
+        rows.configs.push_back(std::make_shared<const cell_config>(
+            rows.configs.size() + 1, std::move(queues), std::move(customers),
+            std::set<std::string>()));
+        store.put(operator_rows_table, "config",
+                  std::to_string(rows.configs.size() - 1));
+        notify_watchers();
+    }
+    void add_worker(const std::string& id, const std::string& data_centre,
+                    resources capacity = {8000, 16000, 0})
+    {
+        fake_worker worker;
+        worker.id = id;
+        worker.capacity = capacity;
+        worker.clock_offset_ms =
+            static_cast<std::int64_t>(1000 * workers.size());
+        workers[id] = std::move(worker);
+        store.put(worker_rows_table, id,
+                  nlohmann::json{{"dc", data_centre},
+                                 {"cpu", capacity.cpu_millis},
+                                 {"mem", capacity.memory_mb}}
+                      .dump());
+    }
+    void start_host(const std::string& name, const std::string& data_centre)
+    {
+        auto& slot = hosts[name];
+        ++slot.life;
+        slot.entropy =
+            std::make_unique<fixed_entropy>(hosts.size() * 1000 + slot.life);
+        cell_identity identity;
+        identity.host = name;
+        identity.data_centre = data_centre;
+        identity.incarnation = slot.entropy->hex(8);
+        identity.peer_address = name;
+        slot.data_centre = data_centre;
+        slot.host = std::make_unique<cell_host>(
+            identity, slot.life * 77 + hosts.size(), *slot.entropy, rows);
+        slot.inbox.clear();
+        slot.paused = false;
+        slot.stopped = false;
+    }
+    void kill_host(const std::string& name)
+    {
+        auto& slot = hosts[name];
+        slot.host.reset();
+        slot.inbox.clear();
+        slot.peers.clear();
+        slot.connected.clear();
+        ++slot.life;
+        for (auto& [other, each] : hosts)
+            if (each.connected.erase(name) > 0 && each.host)
+                each.inbox.emplace_back(peer_state{name, false});
+    }
+    std::string owner() const
+    {
+        for (const auto& [name, slot] : hosts)
+            if (slot.host && !slot.paused && slot.host->is_owner() &&
+                slot.host->owner()->is_loaded())
+                return name;
+        return {};
+    }
+
+    static work_spec tasks(std::uint32_t count, std::int64_t cpu,
+                           std::int64_t estimate_ms = 500)
+    {
+        work_spec work;
+        work.payload = "payload";
+        step_spec step;
+        step.count = count;
+        step.amount = {cpu, 100, 0};
+        step.estimate_ms = estimate_ms;
+        work.steps.push_back(step);
+        return work;
+    }
+    static std::string job_id(unsigned number)
+    {
+        return fmt::format("{:016x}", number);
+    }
+    call_id call(const std::string& host, caller_verb verb,
+                 const std::string& path, const std::string& key = "key-big",
+                 std::optional<work_spec> work = {},
+                 milliseconds deadline = milliseconds(3000))
+    {
+        caller_request request;
+        request.id = ++calls_;
+        request.verb = verb;
+        request.host = "example";
+        request.path = path;
+        request.key = key;
+        request.deadline = now + deadline;
+        if (work)
+            request.work = std::move(*work);
+        hosts.at(host).inbox.emplace_back(std::move(request));
+        return calls_;
+    }
+    call_id submit(const std::string& host, unsigned job, work_spec work,
+                   const std::string& queue = "batch",
+                   const std::string& key = "key-big")
+    {
+        return call(host, caller_verb::submit, "/" + queue + "/" + job_id(job),
+                    key, std::move(work));
+    }
+    /// Phase as a caller sees it, by way of any host that is up.
+    std::string phase(unsigned job, const std::string& queue = "batch")
+    {
+        for (const auto& [name, slot] : hosts)
+        {
+            if (!slot.host || slot.paused || slot.stopped)
+                continue;
+            const auto id = call(name, caller_verb::status,
+                                 "/" + queue + "/" + job_id(job));
+            run(milliseconds(300));
+            const auto found = answers.find(id);
+            if (found == answers.end())
+                continue;
+            return found->second.phase ? to_string(*found->second.phase)
+                                       : to_string(found->second.code);
+        }
+        return "none";
+    }
+    result_code code_of(call_id id) const
+    {
+        const auto found = answers.find(id);
+        return found == answers.end() ? result_code::internal_error
+                                      : found->second.code;
+    }
+
+    void run(milliseconds time)
+    {
+        const auto end = now + time;
+        while (now < end)
+        {
+            now += milliseconds(1);
+            while (!timers_.empty() && timers_.top().at <= now)
+            {
+                auto action = timers_.top().action;
+                timers_.pop();
+                action();
+            }
+            for (auto& [id, worker] : workers)
+                advance(worker);
+            const bool tick =
+                (now.time_since_epoch() / milliseconds(1)) % 20 == 0;
+            for (auto& [name, slot] : hosts)
+                turn(name, slot, tick);
+        }
+    }
+    /// Runs until `done` or for `most`; returns whether it came about.
+    bool run_until(milliseconds most, const std::function<bool()>& done)
+    {
+        const auto end = now + most;
+        while (now < end && !done())
+            run(milliseconds(10));
+        return done();
+    }
+    void after(milliseconds delay, std::function<void()> action)
+    {
+        timers_.push({now + delay, ++sequence_, std::move(action)});
+    }
+    /// Ends all runs without a report, as a crash does.
+    void crash_worker(const std::string& id)
+    {
+        auto& worker = workers.at(id);
+        worker.reachable = false;
+        worker.runs.clear();
+        worker.holds.clear();
+    }
+
+private:
+    struct timer
+    {
+        time_point at;
+        std::uint64_t sequence;
+        std::function<void()> action;
+        friend bool operator<(const timer& a, const timer& b)
+        {
+            return std::tie(a.at, a.sequence) > std::tie(b.at, b.sequence);
+        }
+    };
+    struct watcher
+    {
+        std::string host;
+        std::uint64_t life;
+        store_watch watch;
+        time_point until;
+    };
+
+    void turn(const std::string& name, host_slot& slot, bool tick)
+    {
+        if (!slot.host || slot.paused || slot.stopped)
+            return;
+        if (tick)
+        {
+            slot.inbox.emplace_back(wall_clock{
+                unix_offset_ms + now.time_since_epoch() / milliseconds(1)});
+            slot.inbox.emplace_back(timer_tick{});
+        }
+        if (slot.inbox.empty())
+            return;
+        const auto events = std::exchange(slot.inbox, {});
+        const auto out = slot.host->handle(now, events);
+        for (const auto& effect : out)
+            std::visit([&](const auto& each) { carry_out(name, slot, each); },
+                       effect);
+        expire_watchers();
+    }
+    void deliver(const std::string& name, std::uint64_t life, cell_event event)
+    {
+        auto& slot = hosts[name];
+        if (slot.host && slot.life == life)
+            slot.inbox.push_back(std::move(event));
+    }
+
+    bool reaches_store(const host_slot& slot) const
+    {
+        return !store_down && slot.reaches_store;
+    }
+    template <class Operation, class Act>
+    void ask_store(const std::string& name, host_slot& slot,
+                   const Operation& operation, const Act& act)
+    {
+        const auto life = slot.life;
+        if (!reaches_store(slot))
+        {
+            store_result result;
+            result.op = operation.op;
+            result.status = store_status::unavailable;
+            after(milliseconds(3),
+                  [this, name, life, result] { deliver(name, life, result); });
+            return;
+        }
+        after(milliseconds(4),
+              [this, name, life, operation, act]
+              {
+                  store_result result = act(operation);
+                  if (store_loses_answers &&
+                      std::is_same<Operation, store_commit>::value)
+                  {
+                      result = store_result{};
+                      result.op = operation.op;
+                  }
+                  after(milliseconds(2), [this, name, life, result]
+                        { deliver(name, life, result); });
+              });
+    }
+
+    void carry_out(const std::string& name, host_slot& slot,
+                   const store_commit& operation)
+    {
+        ask_store(name, slot, operation,
+                  [this](const store_commit& each)
+                  {
+                      auto result = store.commit(each);
+                      notify_watchers();
+                      return result;
+                  });
+    }
+    void carry_out(const std::string& name, host_slot& slot,
+                   const store_read& operation)
+    {
+        ask_store(name, slot, operation,
+                  [this](const store_read& each) { return store.read(each); });
+    }
+    void carry_out(const std::string& name, host_slot& slot,
+                   const store_scan& operation)
+    {
+        ask_store(name, slot, operation,
+                  [this](const store_scan& each) { return store.scan(each); });
+    }
+    void carry_out(const std::string& name, host_slot& slot,
+                   const store_watch& operation)
+    {
+        const auto life = slot.life;
+        if (!reaches_store(slot))
+        {
+            watch_result result;
+            result.op = operation.op;
+            result.status = store_status::unavailable;
+            after(milliseconds(3),
+                  [this, name, life, result] { deliver(name, life, result); });
+            return;
+        }
+        watchers_.push_back(
+            {name, life, operation, now + milliseconds(operation.wait_ms)});
+        notify_watchers();
+    }
+    void notify_watchers()
+    {
+        const auto waiting = std::exchange(watchers_, {});
+        for (const auto& each : waiting)
+            answer_watcher(each, false);
+    }
+    void expire_watchers()
+    {
+        const auto waiting = std::exchange(watchers_, {});
+        for (const auto& each : waiting)
+            answer_watcher(each, now >= each.until);
+    }
+    void answer_watcher(const watcher& each, bool over)
+    {
+        auto result = store.changes(each.watch);
+        if (result.rows.empty() && result.removed.empty() && !over)
+        {
+            watchers_.push_back(each);
+            return;
+        }
+        after(milliseconds(2),
+              [this, each, result] { deliver(each.host, each.life, result); });
+    }
+
+    void carry_out(const std::string& name, host_slot& slot,
+                   const worker_call& call)
+    {
+        const auto life = slot.life;
+        const auto reply = [this, name, life](const worker_answer& answer)
+        {
+            after(milliseconds(1),
+                  [this, name, life, answer] { deliver(name, life, answer); });
+        };
+        if (call.order == worker_order::advise)
+        {
+            worker_answer answer;
+            answer.id = call.id;
+            answer.status = order_status::ok;
+            for (const auto& id : call.workers)
+                if (is_good(id))
+                    answer.tickets.push_back({id, "ticket"});
+            after(milliseconds(8), [reply, answer] { reply(answer); });
+            return;
+        }
+        auto& worker = workers[call.address];
+        const auto late = call.order == worker_order::start
+                              ? milliseconds(worker.starts_late_ms)
+                              : milliseconds(0);
+        if (!worker.reachable || late.count() > 0 || worker.loses_answers)
+        {
+            worker_answer none;
+            none.id = call.id;
+            after(milliseconds(call.timeout_ms),
+                  [reply, none] { reply(none); });
+        }
+        if (!worker.reachable)
+            return;
+        const bool answers = late.count() == 0 && !worker.loses_answers;
+        after(milliseconds(1) + late,
+              [this, call, reply, answers]
+              {
+                  auto& at = workers[call.address];
+                  std::function<void(const worker_answer&)> answer =
+                      [](const worker_answer&) {};
+                  if (answers)
+                      answer = reply;
+                  take_call(at, call, answer);
+              });
+    }
+
+    std::int64_t clock_of(const fake_worker& worker) const
+    {
+        return now.time_since_epoch() / milliseconds(1) +
+               worker.clock_offset_ms;
+    }
+    void take_call(fake_worker& worker, const worker_call& call,
+                   const std::function<void(const worker_answer&)>& reply)
+    {
+        worker_answer answer;
+        answer.id = call.id;
+        answer.status = order_status::ok;
+        answer.clock_ms = clock_of(worker);
+        answer.born_ms = 1;
+        if (call.epoch < worker.epoch)
+        {
+            answer.status = order_status::fenced;
+            reply(answer);
+            return;
+        }
+        worker.epoch = call.epoch;
+        const run_key key{call.task, call.run};
+        if (call.lease_until_ms > 0)
+            worker.lease_ms = std::max(
+                worker.lease_ms,
+                std::min(call.lease_until_ms,
+                         answer.clock_ms + config::cell_worker_lease.count()));
+        if (call.order == worker_order::start)
+        {
+            if (call.lease_until_ms <= answer.clock_ms)
+                answer.status = order_status::expired;
+            else if (worker.highest_ended.count(call.task) &&
+                     worker.highest_ended[call.task] >= call.run)
+                answer.status = order_status::superseded;
+            else if (worker.runs.count(key) == 0)
+                begin(worker, call);
+            reply(answer);
+            return;
+        }
+        if (call.order == worker_order::stop)
+        {
+            auto& highest = worker.highest_ended[call.task];
+            highest = std::max(highest, call.run);
+            const auto found = worker.runs.find(key);
+            if (found != worker.runs.end())
+            {
+                found->second.end = end_kind::stopped;
+                found->second.ends_at = std::min(
+                    found->second.ends_at, now + milliseconds(worker.stop_ms));
+            }
+            reply(answer);
+            return;
+        }
+        worker.ends.erase(
+            std::remove_if(worker.ends.begin(), worker.ends.end(),
+                           [&call](const end_report& end)
+                           { return end.number <= call.acked_end; }),
+            worker.ends.end());
+        const auto id = worker.id;
+        const std::function<void()> list = [this, id, answer, reply]() mutable
+        {
+            const auto& at = workers[id];
+            answer.clock_ms = clock_of(at);
+            for (const auto& [run, about] : at.runs)
+                answer.running.push_back({run.first, run.second, "", 50, 0});
+            answer.ended = at.ends;
+            reply(answer);
+        };
+        if (call.wait_ms == 0 || !worker.ends.empty())
+            list();
+        else
+            worker.holds.push_back({now + milliseconds(call.wait_ms), list});
+    }
+    void begin(fake_worker& worker, const worker_call& call)
+    {
+        for (const auto& [id, other] : workers)
+            for (const auto& [key, run] : other.runs)
+                if (key.first == call.task)
+                    violations.push_back("two runs of " + call.task.job);
+        if (done_ends.count(call.task))
+            violations.push_back("a start after done of " + call.task.job);
+        auto run = plan(call.task, call.run);
+        run.ends_at = now + run.ends_at.time_since_epoch();
+        run.amount = amounts[call.task.job];
+        worker.runs[{call.task, call.run}] = run;
+        ++starts[call.task];
+        resources used;
+        for (const auto& [key, each] : worker.runs)
+            used += each.amount;
+        if (!used.fits_in(worker.capacity))
+            violations.push_back("over capacity at " + worker.id);
+    }
+    void finish(fake_worker& worker, const run_key& key, end_kind kind)
+    {
+        worker.runs.erase(key);
+        auto& highest = worker.highest_ended[key.first];
+        highest = std::max(highest, key.second);
+        worker.ends.push_back(
+            {worker.next_end++, key.first, key.second, kind, ""});
+        if (kind == end_kind::done)
+            ++done_ends[key.first];
+        for (auto& each : std::exchange(worker.holds, {}))
+            each.answer();
+    }
+    void advance(fake_worker& worker)
+    {
+        std::vector<std::pair<run_key, end_kind>> over;
+        const bool lapsed = clock_of(worker) > worker.lease_ms;
+        for (const auto& [key, run] : worker.runs)
+        {
+            if (now >= run.ends_at)
+                over.emplace_back(key, run.end);
+            else if (lapsed)
+                over.emplace_back(key, end_kind::lapsed);
+        }
+        for (const auto& [key, kind] : over)
+            finish(worker, key, kind);
+        std::vector<fake_worker::waiting_hold> still;
+        for (auto& each : std::exchange(worker.holds, {}))
+        {
+            if (now >= each.until)
+                each.answer();
+            else
+                still.push_back(each);
+        }
+        worker.holds = std::move(still);
+    }
+
+    void carry_out(const std::string& name, host_slot& slot,
+                   const set_peers& peers)
+    {
+        std::set<std::string> wanted;
+        for (const auto& peer : peers.peers)
+            wanted.insert(peer.host);
+        for (const auto& gone : slot.peers)
+        {
+            if (wanted.count(gone) || slot.connected.erase(gone) == 0)
+                continue;
+            slot.inbox.emplace_back(peer_state{gone, false});
+        }
+        slot.peers = wanted;
+        dial(name, slot.life);
+    }
+    void dial(const std::string& name, std::uint64_t life)
+    {
+        after(milliseconds(5),
+              [this, name, life]
+              {
+                  auto& slot = hosts[name];
+                  if (!slot.host || slot.life != life)
+                      return;
+                  bool missing = false;
+                  for (const auto& peer : slot.peers)
+                  {
+                      if (slot.connected.count(peer))
+                          continue;
+                      const auto other = hosts.find(peer);
+                      if (other == hosts.end() || !other->second.host ||
+                          is_cut(name, peer))
+                      {
+                          missing = true;
+                          continue;
+                      }
+                      slot.connected.insert(peer);
+                      deliver(name, life, peer_state{peer, true});
+                  }
+                  if (missing)
+                      after(milliseconds(100),
+                            [this, name, life] { dial(name, life); });
+              });
+    }
+    bool is_cut(const std::string& a, const std::string& b) const
+    {
+        return cut_links.count({a, b}) > 0 || cut_links.count({b, a}) > 0;
+    }
+    void carry_out(const std::string& name, host_slot& slot,
+                   const peer_send& message)
+    {
+        if (slot.connected.count(message.to) == 0 || is_cut(name, message.to))
+            return;
+        const auto life = hosts[message.to].life;
+        after(milliseconds(2),
+              [this, name, life, message]
+              {
+                  deliver(message.to, life,
+                          peer_received{name, message.type, message.body});
+              });
+    }
+
+    void carry_out(const std::string&, host_slot&, const caller_answer& answer)
+    {
+        if (!answers.emplace(answer.id, answer).second)
+            violations.push_back("two answers to one call");
+    }
+    void carry_out(const std::string&, host_slot&, const open_links&) {}
+    void carry_out(const std::string&, host_slot&, const log_record& record)
+    {
+        log.push_back(record);
+    }
+    void carry_out(const std::string&, host_slot& slot, const readiness& state)
+    {
+        slot.ready = state.ready;
+    }
+    void carry_out(const std::string&, host_slot& slot, const stop_complete&)
+    {
+        slot.stopped = true;
+    }
+
+public:
+    /// Amount of each task of a job, for the check of capacity.
+    std::map<std::string, resources> amounts;
+
+private:
+    std::priority_queue<timer> timers_;
+    std::uint64_t sequence_ = 0;
+    call_id calls_ = 0;
+    std::vector<watcher> watchers_;
+};
+
+} // namespace cell_test
--- /dev/null
+++ b/tests/test_cell_job.cpp
@@ -0,0 +1,95 @@
+// A job's own rules: what counts, and what survives in its rows.
+#include <catch2/catch.hpp>
+
+#include "cell_job_p.hpp"
+
+using namespace carobcourse;
+
+namespace
+{
+
+work_spec two_tasks(bool gang)
+{
+    work_spec work;
+    step_spec step;
+    step.count = 2;
+    step.gang = gang;
+    work.steps.push_back(step);
+    return work;
+}
+
+cell_job job_with(work_spec work)
+{
+    cell_job job("0000000000000001", "c", "q", std::move(work), 5, 3);
+    job.add_due(10, time_point());
+    return job;
+}
+
+} // namespace
+
+TEST_CASE("Each failed run counts once, in whatever order it is reported")
+{
+    // Guards against a new owner that hears of the later failure first and
+    // then starts the task beyond its attempts.
+    auto job = job_with(two_tasks(false));
+    const cell_task_id task{job.id(), 0, 0, 1};
+    CHECK_FALSE(job.mark_failed(task, 2, 2));
+    CHECK_FALSE(job.mark_failed(task, 2, 2));
+    CHECK(job.mark_failed(task, 1, 2));
+    CHECK(job.phase() == job_phase::failed);
+}
+
+TEST_CASE("Failures of a gang count per run, not per member")
+{
+    auto job = job_with(two_tasks(true));
+    CHECK_FALSE(job.mark_failed({job.id(), 0, 0, 0}, 1, 2));
+    CHECK_FALSE(job.mark_failed({job.id(), 0, 0, 1}, 1, 2));
+    CHECK(job.mark_failed({job.id(), 0, 0, 1}, 2, 2));
+}
+
+TEST_CASE("Progress survives in its row")
+{
+    auto job = job_with(two_tasks(false));
+    job.mark_done({job.id(), 0, 0, 0});
+    CHECK_FALSE(job.mark_failed({job.id(), 0, 0, 1}, 7, 3));
+    auto copy = cell_job::from_text(job.id(), job.spec_text());
+    REQUIRE(copy);
+    CHECK(copy->spec() == job.spec());
+    CHECK(copy->accepted_epoch() == 3);
+    REQUIRE(copy->read_progress(job.progress_text(), time_point()));
+    CHECK(copy->find({job.id(), 0, 0, 0})->state == cell_task_state::done);
+    CHECK_FALSE(copy->mark_failed({job.id(), 0, 0, 1}, 7, 2));
+    CHECK(copy->mark_failed({job.id(), 0, 0, 1}, 8, 2));
+    CHECK_FALSE(copy->read_progress("{", time_point()));
+    CHECK(cell_job::from_text("x", "no json") == nullptr);
+}
+
+TEST_CASE("Runs of a later owner are above all of earlier ones, from 1 on")
+{
+    CHECK(cell_job::next_run(0, 3, 3) == 1);
+    CHECK(cell_job::next_run(5, 3, 3) == 6);
+    CHECK(cell_job::next_run(0, 4, 3) > 4000);
+    CHECK(cell_job::next_run(0, 5, 3) > cell_job::next_run(300, 4, 3));
+}
+
+TEST_CASE("Occurrences become due by the wall clock")
+{
+    auto work = two_tasks(false);
+    work.occurrences = 3;
+    work.first_due_ms = 1000;
+    work.interval_ms = 500;
+    cell_job job("0000000000000001", "c", "q", work, 5, 1);
+    job.add_due(999, time_point());
+    CHECK(job.occurrences().empty());
+    job.add_due(1500, time_point());
+    CHECK(job.occurrences().size() == 2);
+    CHECK(job.next_due_ms() == 2000);
+    for (std::uint32_t k = 0; k < 2; ++k)
+        for (std::uint32_t i = 0; i < 2; ++i)
+            job.mark_done({job.id(), k, 0, i});
+    CHECK(job.phase() != job_phase::completed);
+    job.add_due(9000, time_point());
+    for (std::uint32_t i = 0; i < 2; ++i)
+        job.mark_done({job.id(), 2, 0, i});
+    CHECK(job.phase() == job_phase::completed);
+}
--- /dev/null
+++ b/tests/test_cell_order.cpp
@@ -0,0 +1,164 @@
+// Decisions under load, replayed without input and output.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "cell_advice_p.hpp"
+#include "cell_order_p.hpp"
+#include "cell_placement_p.hpp"
+
+using namespace carobcourse;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const time_point start(std::chrono::hours(1));
+
+order_input waiting(int priority, int objective_ms, int chain_ms)
+{
+    order_input input;
+    input.priority = priority;
+    input.objective = start + milliseconds(objective_ms);
+    input.chain_ms = chain_ms;
+    return input;
+}
+
+cell_worker worker(const std::string& id, std::int64_t cpu,
+                   const std::string& rack = "r1")
+{
+    worker_report report;
+    report.id = id;
+    report.rack = rack;
+    report.capacity = {cpu, 64000, 0};
+    return cell_worker(report);
+}
+
+} // namespace
+
+TEST_CASE("In a burst urgent work goes first, then by latest start; missed "
+          "objectives and excess wait")
+{
+    // Guards against overload in which work that can no longer meet its
+    // objective takes the place of work that can.
+    const auto urgent = order_of(waiting(0, 5000, 100), start);
+    const auto soon = order_of(waiting(2, 6000, 4000), start);
+    const auto later = order_of(waiting(1, 9000, 2000), start);
+    const auto missed = order_of(waiting(0, -10, 100), start);
+    auto beyond = waiting(0, 400, 100);
+    beyond.excess = true;
+    const auto excess = order_of(beyond, start);
+    std::vector<order_key> order{excess, missed, later, soon, urgent};
+    std::sort(order.begin(), order.end());
+    CHECK(order == std::vector<order_key>{urgent, soon, later, missed, excess});
+}
+
+TEST_CASE("A customer at seven times its rate is marked beyond it")
+{
+    // Guards against one customer's flood delaying the others.
+    customer_rates rates;
+    int within = 0;
+    for (int i = 0; i < 700; ++i)
+        within += rates.take(start + milliseconds(10 * i), "hot", 10) ? 1 : 0;
+    CHECK(within >= 70);
+    CHECK(within <= 81);
+    CHECK(rates.take(start, "calm", 10));
+}
+
+TEST_CASE("Admission refuses at once what would end too late, with a time")
+{
+    admission_input input;
+    input.now = start;
+    input.objective = start + milliseconds(1500);
+    input.late_end = start + milliseconds(4500);
+    input.chain_ms = 800;
+    input.cores = 100;
+    input.work_before = 100 * 3000.0;
+    CHECK(admit(input).code == result_code::ok);
+    input.excess = true;
+    CHECK(admit(input).code == result_code::team_queue_full);
+    input.excess = false;
+    input.work_before = 100 * 9000.0;
+    const auto refused = admit(input);
+    CHECK(refused.code == result_code::team_queue_full);
+    CHECK(refused.retry_after_ms == 9000 + 800 - 4500);
+    input.work_before = 0;
+    input.store_failing = true;
+    CHECK(admit(input).code == result_code::store_unavailable);
+}
+
+TEST_CASE("Small tasks fill gaps and leave whole workers to gangs")
+{
+    cell_workers workers;
+    const auto add = [&workers](const std::string& id, std::int64_t used)
+    {
+        worker_report report;
+        report.id = id;
+        report.capacity = {32000, 64000, 0};
+        auto& at = workers.add(report);
+        if (used > 0)
+        {
+            cell_run run;
+            run.amount = {used, 100, 0};
+            workers.add_run(at, {{id, 0, 0, 0}, 1}, run);
+        }
+        return &at;
+    };
+    const std::vector<placement_candidate> all{{add("empty", 0), ""},
+                                               {add("half", 16000), ""},
+                                               {add("full", 31500), ""}};
+    step_spec small;
+    small.amount = {1000, 100, 0};
+    const auto* best = choose_worker(all, small, 1);
+    REQUIRE(best);
+    CHECK(best->worker->report().id == "half");
+    step_spec gang;
+    gang.gang = true;
+    gang.count = 4;
+    gang.amount = {9000, 100, 0};
+    const auto plan = plan_gang(all, gang, 4);
+    REQUIRE(plan.size() == 2);
+    CHECK(plan[0].worker->report().id == "empty");
+    CHECK(plan[0].tasks == 3);
+    CHECK(plan[1].tasks == 1);
+    CHECK(plan_gang(all, gang, 5).empty());
+}
+
+TEST_CASE("A gang that slows over racks is placed within one where it fits")
+{
+    const auto a = worker("a", 20000, "r1");
+    const auto b = worker("b", 18000, "r2");
+    const auto c = worker("c", 18000, "r2");
+    step_spec gang;
+    gang.gang = true;
+    gang.same_rack = true;
+    gang.count = 4;
+    gang.amount = {9000, 100, 0};
+    const auto plan =
+        plan_gang({{&a, ""}, {&b, ""}, {&c, ""}}, gang, gang.count);
+    REQUIRE(plan.size() == 2);
+    for (const auto& share : plan)
+        CHECK(share.worker->report().rack == "r2");
+}
+
+TEST_CASE("A long call for advice never stands before a short one")
+{
+    advice_lanes lanes;
+    lanes.set_hosts({"a", "b", "c", "d"});
+    int long_calls = 0;
+    while (lanes.begin(start, 600))
+        ++long_calls;
+    CHECK(long_calls == 2);
+    const auto host = lanes.begin(start, 10);
+    REQUIRE(host);
+    CHECK((*host == "c" || *host == "d"));
+}
+
+TEST_CASE("The lease of a worker is over only when its slowest clock says so")
+{
+    auto at = worker("a", 1000);
+    at.note_clock(start, 50000);
+    at.note_lease(56000);
+    CHECK(at.lease_over() >= start + milliseconds(6122));
+    CHECK(at.clock_at(start + milliseconds(1000)) == 50980);
+}
--- /dev/null
+++ b/tests/test_cell_path.cpp
@@ -0,0 +1,201 @@
+// The whole path of the cell on fakes: callers, owner, workers, store.
+#include "cell_harness.hpp"
+
+using namespace cell_test;
+
+namespace
+{
+
+struct started_cell : cell_world
+{
+    explicit started_cell(std::size_t hosts = 3, std::size_t workers = 4)
+        : cell_world(hosts, workers)
+    {
+        REQUIRE(run_until(milliseconds(3000),
+                          [this]
+                          {
+                              return !owner().empty() &&
+                                     std::all_of(this->hosts.begin(),
+                                                 this->hosts.end(),
+                                                 [](const auto& each)
+                                                 { return each.second.ready; });
+                          }));
+    }
+};
+
+} // namespace
+
+TEST_CASE("A job runs to its end and is shown by every host")
+{
+    // Guards against hosts that start but do not hear the owner: their callers
+    // would be refused while the owner serves its own.
+    started_cell cell;
+    const auto call = cell.submit("h1", 1, cell.tasks(5, 1000));
+    cell.run(milliseconds(200));
+    CHECK(cell.code_of(call) == result_code::ok);
+    CHECK(cell.phase(1) == "running");
+    cell.run(milliseconds(1500));
+    for (const auto& [name, slot] : cell.hosts)
+    {
+        const auto id =
+            cell.call(name, caller_verb::status, "/batch/" + cell.job_id(1));
+        cell.run(milliseconds(100));
+        REQUIRE(cell.answers.count(id) == 1);
+        CHECK(cell.answers[id].phase == job_phase::completed);
+    }
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("Callers of the owner's own host are answered")
+{
+    // Guards against an answer given while the front is still noting the
+    // call: it was lost, and the next round freed the call in use.
+    started_cell cell;
+    const auto owner = cell.owner();
+    const auto call = cell.submit(owner, 1, cell.tasks(1, 1000));
+    cell.run(milliseconds(100));
+    CHECK(cell.code_of(call) == result_code::ok);
+    const auto unknown =
+        cell.call(owner, caller_verb::status, "/batch/" + cell.job_id(99));
+    cell.run(milliseconds(20));
+    CHECK(cell.code_of(unknown) == result_code::job_unknown);
+    cell.run(milliseconds(1500));
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("Steps run in order, gangs with one run number")
+{
+    started_cell cell;
+    auto work = cell.tasks(2, 1000);
+    auto gang = work.steps.front();
+    gang.gang = true;
+    gang.count = 6;
+    gang.amount = {4000, 100, 0};
+    gang.after = {0};
+    work.steps.push_back(gang);
+    std::map<std::uint32_t, std::set<std::uint32_t>> runs;
+    bool early = false;
+    cell.plan = [&](const cell_task_id& task, std::uint32_t run)
+    {
+        if (task.step == 1)
+        {
+            runs[run].insert(task.index);
+            for (std::uint32_t i = 0; i < 2; ++i)
+                early = early || cell.done_ends.count({task.job, 0, 0, i}) == 0;
+        }
+        return fake_run{time_point(milliseconds(400)), end_kind::done, {}};
+    };
+    cell.submit("h0", 1, work);
+    cell.run(milliseconds(3000));
+    CHECK_FALSE(early);
+    REQUIRE(runs.size() == 1);
+    CHECK(runs.begin()->second.size() == 6);
+    CHECK(cell.phase(1) == "completed");
+}
+
+TEST_CASE("Work that can not be taken gets its numbered error at once")
+{
+    started_cell cell;
+    const auto no_key = cell.submit("h0", 1, cell.tasks(1, 1), "batch", "");
+    const auto bad_key = cell.submit("h0", 2, cell.tasks(1, 1), "batch", "x");
+    const auto no_queue = cell.submit("h0", 3, cell.tasks(1, 1), "nothing");
+    auto cyclic = cell.tasks(1, 1);
+    cyclic.steps.front().after = {0};
+    const auto cycle = cell.submit("h0", 4, cyclic);
+    const auto no_steps = cell.submit("h0", 5, work_spec{});
+    const auto bad_id = cell.call("h0", caller_verb::submit, "/batch/xyz",
+                                  "key-big", cell.tasks(1, 1));
+    cell.run(milliseconds(5));
+    CHECK(cell.code_of(no_key) == result_code::key_missing);
+    CHECK(cell.code_of(bad_key) == result_code::key_unknown);
+    CHECK(cell.code_of(no_queue) == result_code::not_found);
+    CHECK(cell.code_of(cycle) == result_code::bad_request);
+    CHECK(cell.code_of(no_steps) == result_code::bad_request);
+    CHECK(cell.code_of(bad_id) == result_code::bad_request);
+}
+
+TEST_CASE("A customer's upper limit holds over all workers")
+{
+    started_cell cell;
+    for (unsigned i = 1; i <= 6; ++i)
+        cell.submit("h0", i, cell.tasks(3, 1500), "batch", "key-small");
+    std::int64_t most = 0;
+    for (int i = 0; i < 300; ++i)
+    {
+        cell.run(milliseconds(10));
+        std::int64_t running = 0;
+        for (const auto& [id, worker] : cell.workers)
+            running += static_cast<std::int64_t>(worker.runs.size()) * 1500;
+        most = std::max(most, running);
+    }
+    CHECK(most > 0);
+    CHECK(most <= 4000);
+}
+
+TEST_CASE("A cancelled job stops within its bound and starts nothing more")
+{
+    started_cell cell;
+    cell.plan = [](const cell_task_id&, std::uint32_t) {
+        return fake_run{time_point(milliseconds(60000)), end_kind::done, {}};
+    };
+    cell.submit("h0", 1, cell.tasks(40, 1000));
+    cell.run(milliseconds(300));
+    const auto cancel =
+        cell.call("h1", caller_verb::cancel, "/batch/" + cell.job_id(1));
+    cell.run(milliseconds(400));
+    CHECK(cell.code_of(cancel) == result_code::ok);
+    CHECK(cell.phase(1) == "cancelled");
+    std::size_t running = 0;
+    for (const auto& [id, worker] : cell.workers)
+        running += worker.runs.size();
+    CHECK(running == 0);
+}
+
+TEST_CASE("A job whose task fails too often has failed, and only then")
+{
+    started_cell cell;
+    cell.plan = [](const cell_task_id& task, std::uint32_t)
+    {
+        return fake_run{time_point(milliseconds(50)),
+                        task.index == 0 ? end_kind::failed : end_kind::done,
+                        {}};
+    };
+    cell.submit("h0", 1, cell.tasks(2, 1000));
+    cell.run(milliseconds(2000));
+    CHECK(cell.phase(1) == "failed");
+    CHECK(cell.starts[{cell.job_id(1), 0, 0, 0}] == 3);
+}
+
+TEST_CASE("A withdrawn key is refused, and an unconfirmed configuration too")
+{
+    started_cell cell;
+    cell.hosts["h2"].reaches_store = false;
+    cell.configure(cell.default_queues(), {{"big", {"key-new"}, 50, {}}});
+    cell.run(milliseconds(200));
+    const auto old_key = cell.submit("h0", 1, cell.tasks(1, 1));
+    cell.run(milliseconds(50));
+    CHECK(cell.code_of(old_key) == result_code::key_unknown);
+    // The host that is cut off has not seen the change.
+    cell.run(milliseconds(4500));
+    const auto stale = cell.submit("h2", 2, cell.tasks(1, 1));
+    cell.run(milliseconds(50));
+    CHECK(cell.code_of(stale) == result_code::configuration_stale);
+    CHECK_FALSE(cell.hosts["h2"].ready);
+}
+
+TEST_CASE("No task starts in a data centre that is taken out")
+{
+    started_cell cell;
+    cell.store.put(operator_rows_table, "out/dc0", "{}");
+    cell.run(milliseconds(1500));
+    cell.submit("h0", 1, cell.tasks(20, 1000));
+    cell.run(milliseconds(400));
+    CHECK(cell.workers["w0"].runs.empty());
+    CHECK(cell.workers["w2"].runs.empty());
+    CHECK_FALSE(cell.workers["w1"].runs.empty());
+    cell.store.put(operator_rows_table, "out/dc0", std::nullopt);
+    cell.run(milliseconds(1500));
+    cell.submit("h0", 2, cell.tasks(20, 1000));
+    cell.run(milliseconds(300));
+    CHECK_FALSE(cell.workers["w0"].runs.empty());
+}
--- /dev/null
+++ b/tests/test_cell_recovery.cpp
@@ -0,0 +1,349 @@
+// Loss of owners, hosts, workers, the store and its answers, on fakes.
+#include "cell_harness.hpp"
+
+using namespace cell_test;
+
+namespace
+{
+
+struct running_cell : cell_world
+{
+    explicit running_cell(std::size_t hosts = 3, std::size_t workers = 4)
+        : cell_world(hosts, workers)
+    {
+        plan = [](const cell_task_id&, std::uint32_t) {
+            return fake_run{time_point(milliseconds(800)), end_kind::done, {}};
+        };
+        REQUIRE(
+            run_until(milliseconds(3000), [this] { return !owner().empty(); }));
+        run(milliseconds(500));
+    }
+    std::string other_than_owner() const
+    {
+        const auto own = owner();
+        for (const auto& [name, slot] : hosts)
+            if (name != own)
+                return name;
+        return {};
+    }
+    /// Submits `count` jobs of two tasks through hosts in turn.
+    void load(unsigned first, unsigned count, const std::string& through)
+    {
+        for (unsigned i = 0; i < count; ++i)
+            calls[first + i] = submit(through, first + i, tasks(2, 1000, 800));
+    }
+    void check_all_done(unsigned first, unsigned count)
+    {
+        for (unsigned i = first; i < first + count; ++i)
+        {
+            INFO("job " << i);
+            CHECK(phase(i) == "completed");
+        }
+        CHECK(violations.empty());
+    }
+    std::map<unsigned, call_id> calls;
+};
+
+} // namespace
+
+TEST_CASE("Another host takes the cell over and nothing runs twice")
+{
+    running_cell cell;
+    const auto first = cell.owner();
+    cell.load(1, 6, cell.other_than_owner());
+    cell.run(milliseconds(400));
+    cell.kill_host(first);
+    REQUIRE(cell.run_until(milliseconds(2500),
+                           [&] { return !cell.owner().empty(); }));
+    CHECK(cell.owner() != first);
+    cell.run(milliseconds(4000));
+    cell.check_all_done(1, 6);
+}
+
+TEST_CASE("All hosts lose power after an acknowledgement and no job is lost")
+{
+    running_cell cell;
+    cell.load(1, 4, cell.other_than_owner());
+    REQUIRE(cell.run_until(milliseconds(500), [&]
+                           { return cell.answers.count(cell.calls[4]) > 0; }));
+    for (const auto* name : {"h0", "h1", "h2"})
+        cell.kill_host(name);
+    cell.run(milliseconds(600));
+    for (const auto* name : {"h0", "h1", "h2"})
+        cell.start_host(name, "dc0");
+    cell.run(milliseconds(9000));
+    cell.check_all_done(1, 4);
+}
+
+TEST_CASE("A frozen owner that wakes writes nothing and starts nothing")
+{
+    running_cell cell;
+    const auto first = cell.owner();
+    cell.load(1, 4, cell.other_than_owner());
+    cell.run(milliseconds(300));
+    cell.hosts[first].paused = true;
+    REQUIRE(cell.run_until(milliseconds(4000),
+                           [&] { return !cell.owner().empty(); }));
+    const auto second = cell.owner();
+    cell.hosts[first].paused = false;
+    cell.run(milliseconds(3000));
+    CHECK(cell.owner() == second);
+    CHECK_FALSE(cell.hosts[first].host->is_owner());
+    cell.check_all_done(1, 4);
+}
+
+TEST_CASE("An owner without a way to the store is taken over")
+{
+    running_cell cell;
+    const auto first = cell.owner();
+    cell.hosts[first].reaches_store = false;
+    REQUIRE(cell.run_until(
+        milliseconds(5000),
+        [&] { return !cell.owner().empty() && cell.owner() != first; }));
+    cell.load(1, 4, cell.owner());
+    cell.run(milliseconds(3500));
+    cell.check_all_done(1, 4);
+}
+
+TEST_CASE("While the store is down accepted work goes on and new work is "
+          "refused as not run")
+{
+    running_cell cell;
+    const auto owner = cell.owner();
+    cell.load(1, 4, owner);
+    cell.run(milliseconds(100));
+    cell.store_down = true;
+    cell.run(milliseconds(600));
+    const auto refused = cell.submit(owner, 50, cell.tasks(1, 1000));
+    cell.run(milliseconds(100));
+    CHECK(cell.code_of(refused) == result_code::store_unavailable);
+    CHECK(cell.answers[refused].retry_after_ms > 0);
+    cell.run(milliseconds(2000));
+    CHECK(cell.done_ends.size() == 8);
+    CHECK(cell.phase(1) == "running"); // Shown as ended once durable.
+    cell.store_down = false;
+    cell.run(milliseconds(2000));
+    cell.check_all_done(1, 4);
+    CHECK(cell.phase(50) == to_string(result_code::job_unknown));
+    CHECK(cell.starts.count({cell.job_id(50), 0, 0, 0}) == 0);
+}
+
+TEST_CASE("Answers of the store that are lost are found out by its rows")
+{
+    running_cell cell;
+    cell.store_loses_answers = true;
+    const auto owner = cell.owner();
+    cell.load(1, 4, owner);
+    cell.run(milliseconds(1500));
+    cell.store_loses_answers = false;
+    cell.run(milliseconds(3500));
+    cell.check_all_done(1, 4);
+    CHECK(cell.owner() == owner);
+    for (const auto& [job, call] : cell.calls)
+        CHECK(cell.code_of(call) == result_code::ok);
+}
+
+TEST_CASE("A start without an answer is settled before the task runs again")
+{
+    // The order is carried out 3 s later: its time is over by then.
+    running_cell cell(3, 2);
+    cell.workers["w0"].starts_late_ms = 3000;
+    cell.load(1, 8, cell.owner());
+    cell.run(milliseconds(9000));
+    cell.check_all_done(1, 8);
+}
+
+TEST_CASE("A start that is carried out without an answer is adopted")
+{
+    running_cell cell(3, 2);
+    cell.workers["w0"].starts_late_ms = 200;
+    cell.load(1, 4, cell.owner());
+    cell.run(milliseconds(6000));
+    cell.check_all_done(1, 4);
+    for (const auto& [task, count] : cell.starts)
+        CHECK(count == 1);
+}
+
+TEST_CASE("Tasks of a worker that is cut off run again after its lease only")
+{
+    running_cell cell(3, 2);
+    cell.plan = [](const cell_task_id&, std::uint32_t) {
+        return fake_run{time_point(milliseconds(20000)), end_kind::done, {}};
+    };
+    cell.load(1, 4, cell.owner());
+    cell.run(milliseconds(500));
+    cell.workers["w0"].reachable = false;
+    cell.run(milliseconds(5000));
+    CHECK(cell.violations.empty());
+    // Past the lease everything runs on the other worker.
+    cell.run(milliseconds(4000));
+    CHECK(cell.workers["w1"].runs.size() == 8);
+    CHECK(cell.violations.empty());
+}
+
+TEST_CASE("A planned stop hands the cell on and cuts no call")
+{
+    running_cell cell;
+    const auto first = cell.owner();
+    cell.load(1, 4, first);
+    cell.run(milliseconds(20));
+    cell.hosts[first].inbox.emplace_back(stop_request{});
+    CHECK(cell.run_until(
+        milliseconds(2000),
+        [&] { return !cell.owner().empty() && cell.owner() != first; }));
+    CHECK_FALSE(cell.hosts[first].ready);
+    cell.run(milliseconds(200));
+    for (const auto& [job, call] : cell.calls)
+        CHECK(cell.code_of(call) == result_code::ok);
+    // Callers with open connections are served until the end.
+    const auto late = cell.submit(first, 20, cell.tasks(1, 1000));
+    cell.run(milliseconds(300));
+    CHECK(cell.code_of(late) == result_code::ok);
+    CHECK(cell.answers[late].closing);
+    cell.run(milliseconds(6000));
+    CHECK(cell.hosts[first].stopped);
+    cell.check_all_done(1, 4);
+}
+
+TEST_CASE("Runs of a job that has ended keep their room until they are gone")
+{
+    // The owner dies after a cancel is durable and before the stops are out.
+    // Guards against a new owner that takes the room of such runs as free.
+    running_cell cell(3, 1);
+    cell.workers["w0"].stop_ms = 700;
+    cell.plan = [](const cell_task_id&, std::uint32_t) {
+        return fake_run{time_point(milliseconds(20000)), end_kind::done, {}};
+    };
+    for (unsigned job : {1U, 2U})
+        cell.amounts[cell.job_id(job)] = {2000, 100, 0};
+    cell.submit(cell.other_than_owner(), 1, cell.tasks(4, 2000));
+    cell.run(milliseconds(500));
+    REQUIRE(cell.workers["w0"].runs.size() == 4);
+    cell.call(cell.other_than_owner(), caller_verb::cancel,
+              "/batch/" + cell.job_id(1));
+    REQUIRE(cell.run_until(
+        milliseconds(300),
+        [&] {
+            return cell.store.tables[cell_table::ended].count(cell.job_id(1));
+        }));
+    cell.kill_host(cell.owner());
+    const auto through = cell.hosts["h0"].host ? "h0" : "h1";
+    REQUIRE(cell.run_until(milliseconds(3000),
+                           [&] { return !cell.owner().empty(); }));
+    cell.submit(through, 2, cell.tasks(4, 2000));
+    cell.run(milliseconds(3000));
+    CHECK(cell.violations == std::vector<std::string>());
+    CHECK(cell.workers["w0"].runs.size() == 4);
+}
+
+TEST_CASE("A job that is submitted again stays one job")
+{
+    running_cell cell;
+    const auto once = cell.submit("h0", 1, cell.tasks(1, 1000));
+    const auto again = cell.submit("h1", 1, cell.tasks(1, 1000));
+    cell.run(milliseconds(200));
+    CHECK(cell.code_of(once) == result_code::ok);
+    CHECK(cell.code_of(again) == result_code::ok);
+    cell.run(milliseconds(1500));
+    const auto late = cell.submit("h2", 1, cell.tasks(1, 1000));
+    cell.run(milliseconds(1500));
+    CHECK(cell.code_of(late) == result_code::ok);
+    CHECK(cell.starts[{cell.job_id(1), 0, 0, 0}] == 1);
+    cell.check_all_done(1, 1);
+}
+
+TEST_CASE("Random faults break no rule and lose no accepted job")
+{
+    // Kills, pauses, store outages, lost answers, cuts of links and workers,
+    // late starts. Violations name two runs at once, a start after an end,
+    // or a worker over its capacity.
+    const auto seed = GENERATE(range(1, 9));
+    INFO("seed " << seed);
+    running_cell cell(4, 6);
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    const auto host = [&] { return "h" + std::to_string(random() % 4); };
+    const auto worker = [&] { return "w" + std::to_string(random() % 6); };
+    std::map<unsigned, call_id> calls;
+    unsigned next = 1;
+    for (int round = 0; round < 60; ++round)
+    {
+        for (int i = 0; i < 3; ++i, ++next)
+        {
+            const auto through = host();
+            if (!cell.hosts[through].host || cell.hosts[through].stopped)
+                continue;
+            cell.amounts[cell.job_id(next)] = {2000, 100, 0};
+            calls[next] = cell.submit(through, next, cell.tasks(2, 2000, 800));
+        }
+        const auto name = host();
+        switch (random() % 10)
+        {
+        case 0:
+            cell.kill_host(name);
+            cell.after(milliseconds(700),
+                       [&cell, name] { cell.start_host(name, "dc0"); });
+            break;
+        case 1:
+            cell.hosts[name].paused = true;
+            cell.after(milliseconds(1800),
+                       [&cell, name] { cell.hosts[name].paused = false; });
+            break;
+        case 2:
+            cell.store_down = true;
+            cell.after(milliseconds(900), [&cell] { cell.store_down = false; });
+            break;
+        case 3:
+            cell.store_loses_answers = true;
+            cell.after(milliseconds(600),
+                       [&cell] { cell.store_loses_answers = false; });
+            break;
+        case 4:
+        {
+            const auto id = worker();
+            cell.workers[id].reachable = false;
+            cell.after(milliseconds(2500),
+                       [&cell, id] { cell.workers[id].reachable = true; });
+            break;
+        }
+        case 5:
+        {
+            const auto id = worker();
+            cell.workers[id].starts_late_ms = 2500;
+            cell.after(milliseconds(1000),
+                       [&cell, id] { cell.workers[id].starts_late_ms = 0; });
+            break;
+        }
+        case 6:
+            cell.hosts[name].reaches_store = false;
+            cell.after(milliseconds(2000), [&cell, name]
+                       { cell.hosts[name].reaches_store = true; });
+            break;
+        case 7:
+        {
+            const std::pair<std::string, std::string> link{name, host()};
+            cell.cut_links.insert(link);
+            cell.after(milliseconds(1500),
+                       [&cell, link] { cell.cut_links.erase(link); });
+            break;
+        }
+        default:
+            break;
+        }
+        cell.run(milliseconds(250));
+        REQUIRE(cell.violations == std::vector<std::string>());
+    }
+    cell.run(milliseconds(16000));
+    CHECK(cell.violations == std::vector<std::string>());
+    unsigned accepted = 0;
+    for (const auto& [job, call] : calls)
+    {
+        if (cell.answers.count(call) == 0 ||
+            cell.code_of(call) != result_code::ok)
+            continue;
+        ++accepted;
+        INFO("job " << job);
+        CHECK(cell.store.tables[cell_table::ended].count(cell.job_id(job)) ==
+              1);
+    }
+    CHECK(accepted > 20);
+}
--- /dev/null
+++ b/tests/test_platform_codec.cpp
@@ -0,0 +1,151 @@
+// Translation between the platform's forms and the product's types.
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "callers.hpp"
+#include "rows.hpp"
+#include "settings.hpp"
+#include "wire.hpp"
+
+using namespace carobcourse;
+using namespace carobcourse::platform;
+
+TEST_CASE("A submission is read with every field, and defects are named")
+{
+    const auto work = read_work(
+        R"({"spec":"s","steps":[{"count":2,"cpu":500,"mem_mb":256,)"
+        R"("estimate_ms":900,"data_rack":"r1-3"},{"count":3,"gang":true,)"
+        R"("after":[0],"max_per_server":2,"needs":"a","checkpointing":true}],)"
+        R"("times":3,"start_at_ms":1000,"interval_ms":50})");
+    REQUIRE(work);
+    REQUIRE(work->steps.size() == 2);
+    CHECK(work->steps[0].amount == resources{500, 256, 0});
+    CHECK(work->steps[0].data_rack == "r1-3");
+    CHECK(work->steps[1].after == std::vector<std::uint32_t>{0});
+    CHECK(work->steps[1].gang);
+    CHECK(work->steps[1].max_per_worker == 2);
+    CHECK(work->steps[1].label == "a");
+    CHECK(work->occurrences == 3);
+    for (const auto* bad : {"", "[]", "{}", R"({"steps":7})",
+                            R"({"steps":[{"after":["x"]}]})", "{\"steps\":["})
+    {
+        INFO(bad);
+        const auto read = read_work(bad);
+        REQUIRE_FALSE(read);
+        CHECK(read.error().code == result_code::bad_request);
+    }
+}
+
+TEST_CASE("Rows of another writer name no worker and break nothing")
+{
+    const platform_rows rows;
+    for (const auto* bad :
+         {"", "\xff\xfe", "7", "{}", R"({"service":1,"address":"a"})",
+          R"({"service":"s","address":"a","zone":"z","state":"odd",)"
+          R"("capacity":{"cpu":1}})",
+          R"({"service":"s","address":"a","zone":"z","state":"ready"})"})
+    {
+        INFO(bad);
+        CHECK_FALSE(rows.read_worker("i-1", bad));
+        CHECK_FALSE(rows.read_config("config", bad));
+    }
+    const auto good = rows.read_worker(
+        "i-1",
+        R"({"service":"s","address":"a:1","zone":"z","state":"draining",)"
+        R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},)"
+        R"("labels":["a","r1-3"]})");
+    REQUIRE(good);
+    CHECK(good->draining);
+    CHECK(good->rack == "r1-3");
+    CHECK(good->capacity == resources{16000, 32768, 0});
+    CHECK(rows.data_centre_out("evacuate/zenkov") == "zenkov");
+    CHECK(rows.data_centre_out("config").empty());
+}
+
+TEST_CASE("A configuration is read into queues and customers")
+{
+    const platform_rows rows;
+    const auto read = rows.read_config(
+        "config",
+        R"({"version":7,"routes":[{"name":"r","host":"h.example",)"
+        R"("prefix":"/p/","slo_ms":250,"priority":0,"service":"s",)"
+        R"("attempts":2,"stretch":1.5,"advice":{"decide_ms":8.1,)"
+        R"("each_ms":0.12,"valid_ms":1500}},{"name":"q","host":"h.example",)"
+        R"("prefix":"/p/q/","service":"s","public":true}],)"
+        R"("services":[{"name":"s","enforces_capacity":true}],)"
+        R"("tenants":[{"name":"t","api_keys":["k"],"weight":3,)"
+        R"("cap":{"cpu":5,"mem_mb":6,"gpu":0}}]})");
+    REQUIRE(read);
+    const auto& config = **read;
+    CHECK(config.version() == 7);
+    CHECK(config.find_queue("h.example", "/p/x")->name == "r");
+    CHECK(config.find_queue("h.example", "/p/q/x")->name == "q");
+    CHECK(config.find_queue("other", "/p/x") == nullptr);
+    CHECK(config.customer_of_key("k")->cap == resources{5, 6, 0});
+    CHECK(config.customer_of_key("") == nullptr);
+    CHECK(config.guards_capacity("s"));
+    CHECK(config.queue_named("r")->advice->valid_ms == 1500);
+}
+
+TEST_CASE("Names of tasks and bytes survive the way there and back")
+{
+    const cell_task_id task{"5c0e7a21d94b36f8", 2, 1, 17};
+    CHECK(task_name(task) == "5c0e7a21d94b36f8.2.1.17");
+    CHECK(task_from_name(task_name(task)) == task);
+    for (const auto* bad : {"", "a", "a.1.2", "a.1.2.x", "a.1.2.3.4"})
+        CHECK(task_from_name(bad).job.empty());
+    for (std::size_t size = 0; size < 20; ++size)
+    {
+        const std::string bytes(size, '\xf0');
+        CHECK(base64_decode(base64_encode(bytes)) == bytes);
+    }
+    CHECK_THROWS(base64_decode("*"));
+}
+
+TEST_CASE("Every missing setting is reported, unknown ones are left out")
+{
+    const auto good = parse_platform_settings(
+        "node_name = \"n\"\nzone = \"z\"\nip = \"127.0.0.1\"\nnew = 1\n"
+        "port_range = [7420,7435]\nadvice = \"127.0.0.1:9\"\n"
+        "[bind_addrs]\nfront = \"127.0.0.1:1\"\nready = \"127.0.0.1:2\"\n"
+        "[limits]\ncpu_share = 0.25\n[platform]\naddress = \"127.0.0.1:3\"\n"
+        "[policy_params]\ngrace_s = 6\n",
+        "f");
+    REQUIRE(good);
+    CHECK(good->peer_port == 7420);
+    CHECK(good->processor_share == 0.25);
+    CHECK(good->grace_ms == 6000);
+    const auto bad = parse_platform_settings("node_name = 7\n", "f");
+    REQUIRE_FALSE(bad);
+    CHECK(bad.error().size() == 7);
+    const auto malformed = parse_platform_settings("a = = b", "f");
+    REQUIRE_FALSE(malformed);
+    CHECK(malformed.error().front().line == 1);
+}
+
+TEST_CASE("Answers carry the platform's statuses and a time to come back")
+{
+    const platform_callers callers;
+    const auto status = [&callers](result_code code)
+    {
+        caller_answer answer;
+        answer.code = code;
+        return callers.encode(answer).reply.http_status;
+    };
+    CHECK(status(result_code::ok) == 200);
+    CHECK(status(result_code::key_unknown) == 401);
+    CHECK(status(result_code::key_missing) == 401);
+    CHECK(status(result_code::job_unknown) == 410);
+    CHECK(status(result_code::not_found) == 404);
+    CHECK(status(result_code::team_queue_full) == 429);
+    CHECK(status(result_code::store_unavailable) == 503);
+    CHECK(status(result_code::outcome_unknown) == 504);
+    caller_answer refused;
+    refused.code = result_code::team_queue_full;
+    refused.retry_after_ms = 1200;
+    CHECK(callers.encode(refused).headers.at("Retry-After") == "2");
+    caller_answer shown;
+    shown.phase = job_phase::running;
+    CHECK(nlohmann::json::parse(callers.encode(shown).reply.body)["state"] ==
+          "running");
+}
