Judge admission by each customer's limit; pass messages between hosts as bytes

The wait is now worked out with each customer's limit. Messages of the cell travel as one CBOR payload in place of four conversions; handles of the HTTP client are used again.

--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -16,8 +16,6 @@
 using json = nlohmann::json;
 
 constexpr char message_type[] = "cell";
-/// Not a short name of the peer codec, which would rename it.
-constexpr char items_field[] = "items";
 constexpr std::size_t member_page = 500;
 constexpr char secret_key[] = "secret";
 constexpr std::size_t secret_bytes = 32;
@@ -71,7 +69,7 @@
         peer_send message;
         message.to = host;
         message.type = message_type;
-        message.body = json{{items_field, std::move(items)}}.dump();
+        json::to_cbor(json(std::move(items)), message.payload);
         context_.out.emplace_back(std::move(message));
     }
     outbox_.clear();
@@ -189,13 +187,13 @@
 {
     if (message.type != message_type)
         return;
-    const auto body = json::parse(message.body, nullptr, false);
-    if (!body.is_object() || !body.contains(items_field))
+    const auto items = json::from_cbor(message.payload, true, false);
+    if (!items.is_array())
     {
         context_.counters.count("carobcourse_peer_items_refused_total");
         return;
     }
-    for (const auto& item : body[items_field])
+    for (const auto& item : items)
     {
         try
         {
--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -58,6 +58,7 @@
     auto& run = occurrences_[number];
     if (run.steps.empty())
     {
+        work_left_.reset();
         for (const auto& step : spec_.steps)
         {
             step_run each;
@@ -132,6 +133,7 @@
     if (!step || id.index >= step->tasks.size() ||
         spec_.steps[id.step].long_running)
         return;
+    work_left_.reset();
     const auto end_one = [step](cell_task& task)
     {
         if (task.state == cell_task_state::done)
@@ -311,6 +313,13 @@
 }
 
 double cell_job::work_left() const
+{
+    if (!work_left_)
+        work_left_ = count_work();
+    return *work_left_;
+}
+
+double cell_job::count_work() const
 {
     double work = 0;
     for (const auto& [number, run] : occurrences_)
--- a/src/cell_job_p.hpp
+++ b/src/cell_job_p.hpp
@@ -179,6 +179,7 @@
 private:
     occurrence_run& occurrence_at(std::uint32_t number, time_point now);
     bool all_ended() const;
+    double count_work() const;
 
     std::string id_;
     std::string customer_;
@@ -189,6 +190,7 @@
     std::map<std::uint32_t, occurrence_run> occurrences_;
     std::uint32_t next_occurrence_ = 0;
     std::uint32_t occurrences_done_ = 0;
+    mutable std::optional<double> work_left_; ///< Empty: to be counted.
     bool started_ = false;
     bool cancelled_ = false;
     bool failed_ = false;
--- a/src/cell_order.cpp
+++ b/src/cell_order.cpp
@@ -56,6 +56,34 @@
     return true;
 }
 
+double expected_wait_ms(const std::vector<customer_backlog>& backlogs,
+                        const std::string& customer, double cores)
+{
+    if (cores <= 0)
+        return 0;
+    double wait = 0;
+    for (const auto& each : backlogs)
+        wait += each.core_ms / cores;
+    // In this time a customer gets no more done than its limit allows; what
+    // is left of its backlog does not use the cell.
+    constexpr int rounds = 4;
+    for (int i = 0; i < rounds; ++i)
+    {
+        double done = 0;
+        for (const auto& each : backlogs)
+            done += each.cap_cores > 0
+                        ? std::min(each.core_ms, each.cap_cores * wait)
+                        : each.core_ms;
+        wait = done / cores;
+    }
+    for (const auto& each : backlogs)
+    {
+        if (each.customer == customer && each.cap_cores > 0)
+            wait = std::max(wait, each.core_ms / each.cap_cores);
+    }
+    return wait;
+}
+
 admission admit(const admission_input& input)
 {
     using std::chrono::duration_cast;
@@ -65,10 +93,7 @@
         return {result_code::store_unavailable, retry};
     if (input.jobs >= config::cell_max_jobs)
         return {result_code::team_queue_full, retry};
-    if (input.cores <= 0)
-        return {};
-    const auto wait = milliseconds(
-        static_cast<std::int64_t>(input.work_before / input.cores));
+    const auto wait = milliseconds(static_cast<std::int64_t>(input.wait_ms));
     const auto end = input.now + wait + milliseconds(input.chain_ms);
     const auto limit = input.excess ? input.objective : input.late_end;
     if (end <= limit)
--- a/src/cell_order_p.hpp
+++ b/src/cell_order_p.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "cell_types_p.hpp"
 
@@ -68,6 +69,28 @@
     std::map<std::string, bucket> buckets_;
 };
 
+/// Accepted work of one customer that goes before a job.
+struct customer_backlog
+{
+    std::string customer;
+    double core_ms = 0;
+    double cap_cores = 0; ///< 0: no limit.
+
+    friend bool operator==(const customer_backlog& a, const customer_backlog& b)
+    {
+        return std::tie(a.customer, a.core_ms, a.cap_cores) ==
+               std::tie(b.customer, b.core_ms, b.cap_cores);
+    }
+};
+
+/// Time until a job of `customer` can start, in milliseconds.
+///
+/// Answers a customer that sends far more than it may run at once: its
+/// backlog waits for its own limit and leaves the rest of the cell free, so
+/// it must not count against others. Pure. Thread safe.
+double expected_wait_ms(const std::vector<customer_backlog>& backlogs,
+                        const std::string& customer, double cores);
+
 struct admission_input
 {
     time_point now;
@@ -77,8 +100,7 @@
     bool excess = false;
     bool store_failing = false;
     std::size_t jobs = 0;
-    double work_before = 0; ///< Core ms of accepted work that goes first.
-    double cores = 0;       ///< That may take work.
+    double wait_ms = 0; ///< Until its first task can start.
 };
 
 struct admission
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -20,6 +20,8 @@
 /// A job is worth something until this many times its objective.
 constexpr int late_factor = 3;
 
+constexpr double millis_per_core = 1000;
+
 constexpr auto count_period = std::chrono::milliseconds(200);
 constexpr auto cleanup_period = std::chrono::seconds(5);
 /// Ended jobs that one cleanup removes.
@@ -311,8 +313,8 @@
     input.excess = job->excess;
     input.store_failing = journal_.is_failing();
     input.jobs = jobs_.size();
-    input.work_before = work_before(*job);
-    input.cores = static_cast<double>(workers_.capacity().cpu_millis) / 1000.0;
+    input.wait_ms =
+        expected_wait_ms(backlogs_before(*job), customer, usable_cores());
     const auto admitted = admit(input);
     if (admitted.code != result_code::ok)
     {
@@ -320,10 +322,10 @@
         context_.log(
             log_code::cell_job_refused,
             fmt::format("job={} queue={} customer={} code={} excess={} "
-                        "jobs={} work_before_core_ms={:.0f} cores={:.0f}",
+                        "jobs={} wait_ms={:.0f} chain_ms={}",
                         id, queue_name, customer, to_string(admitted.code),
-                        input.excess, input.jobs, input.work_before,
-                        input.cores));
+                        input.excess, input.jobs, input.wait_ms,
+                        input.chain_ms));
         reply(from, admitted.code, {}, admitted.retry_after_ms);
         return;
     }
@@ -422,17 +424,38 @@
     reply(from, result_code::ok, is_final(phase) ? job_phase::running : phase);
 }
 
-double cell_owner::work_before(const cell_job& job) const
+std::vector<customer_backlog>
+cell_owner::backlogs_before(const cell_job& job) const
 {
-    double work = 0;
+    std::map<std::string, double> work;
     for (const auto& [id, other] : jobs_)
     {
-        if (other->excess && !job.excess)
-            continue;
-        if (other->objective <= job.objective)
-            work += other->work_left();
+        if (!is_final(other->phase()) && (!other->excess || job.excess) &&
+            other->objective <= job.objective)
+            work[other->customer()] += other->work_left();
+    }
+    std::vector<customer_backlog> result;
+    for (const auto& [customer, core_ms] : work)
+    {
+        const auto* config = context_.config->customer_named(customer);
+        const auto cap = config ? config->cap.cpu_millis : 0;
+        result.push_back(
+            {customer, core_ms, static_cast<double>(cap) / millis_per_core});
+    }
+    return result;
+}
+
+double cell_owner::usable_cores() const
+{
+    std::int64_t millis = 0;
+    for (const auto& [id, worker] : workers_.all())
+    {
+        const auto& report = worker.report();
+        if (worker.held && worker.reachable && !report.draining &&
+            context_.data_centres_out.count(report.data_centre) == 0)
+            millis += report.capacity.cpu_millis;
     }
-    return work;
+    return static_cast<double>(millis) / millis_per_core;
 }
 
 // ---------------------------------------------------------------- durability
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -184,7 +184,10 @@
     void finalize(time_point now, cell_job& job);
     void on_final(time_point now, const std::string& id, job_phase phase);
     void count_waiting();
-    double work_before(const cell_job& job) const;
+    /// Accepted work that goes before `job`, by customer.
+    std::vector<customer_backlog> backlogs_before(const cell_job& job) const;
+    /// Of workers that may take new work.
+    double usable_cores() const;
 
     // Workers (cell_owner_workers.cpp).
     void watch_workers(time_point now);
--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -116,25 +116,6 @@
     return found == usage_.end() ? resources{} : found->second;
 }
 
-resources cell_workers::capacity() const
-{
-    resources sum;
-    for (const auto& [id, worker] : workers_)
-    {
-        if (worker.held && worker.reachable && !worker.report().draining)
-            sum += worker.report().capacity;
-    }
-    return sum;
-}
-
-resources cell_workers::used() const
-{
-    resources sum;
-    for (const auto& [id, worker] : workers_)
-        sum += worker.used();
-    return sum;
-}
-
 std::uint64_t step_key_of(const std::string& job, std::uint32_t occurrence,
                           std::uint32_t step)
 {
--- a/src/cell_workers_p.hpp
+++ b/src/cell_workers_p.hpp
@@ -142,9 +142,6 @@
 
     /// What runs, may run or is being stopped for a customer.
     resources usage_of(const std::string& customer) const;
-    /// Capacity of workers that may take new work, and what is used of it.
-    resources capacity() const;
-    resources used() const;
 
 private:
     std::map<std::string, cell_worker> workers_;
--- a/src/event_p.hpp
+++ b/src/event_p.hpp
@@ -336,6 +336,8 @@
     std::string to;
     std::string type;
     std::string body; ///< JSON text.
+    /// Bytes that travel as they are, in place of the body.
+    std::string payload = {};
 };
 
 struct peer_received
@@ -343,6 +345,7 @@
     std::string from;
     std::string type;
     std::string body;
+    std::string payload = {};
 };
 
 struct peer_state
--- a/src/shell_http_client.cpp
+++ b/src/shell_http_client.cpp
@@ -24,6 +24,7 @@
 /// Connections kept open; the library's own limit follows the requests in
 /// flight and would close those that are used again soon.
 constexpr long max_idle_connections = 1024;
+constexpr std::size_t max_idle_handles = 64;
 
 struct transfer
 {
@@ -100,7 +101,6 @@
 
 void prepare(transfer& self)
 {
-    self.handle = curl_easy_init();
     auto* handle = self.handle;
     const auto& request = self.request;
     curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
@@ -157,6 +157,8 @@
         stop_ = true;
         curl_multi_wakeup(multi_);
         thread_.join();
+        for (auto* handle : idle_)
+            curl_easy_cleanup(handle);
         curl_multi_cleanup(multi_);
     }
 
@@ -202,6 +204,7 @@
                 complete(*item, send_status::not_sent);
                 continue;
             }
+            item->handle = take_handle();
             prepare(*item);
             auto* handle = item->handle;
             active_[handle] = std::move(item);
@@ -209,6 +212,24 @@
         }
     }
 
+    CURL* take_handle()
+    {
+        if (idle_.empty())
+            return curl_easy_init();
+        auto* handle = idle_.back();
+        idle_.pop_back();
+        return handle;
+    }
+
+    /// Setting a handle up costs more than a small request.
+    void keep_handle(transfer& item)
+    {
+        if (idle_.size() >= max_idle_handles)
+            return;
+        curl_easy_reset(item.handle);
+        idle_.push_back(std::exchange(item.handle, nullptr));
+    }
+
     void take_done()
     {
         int left = 0;
@@ -224,6 +245,7 @@
             long http_status = 0;
             curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &http_status);
             item->response.http_status = static_cast<int>(http_status);
+            keep_handle(*item);
             complete(*item, status_of(code));
         }
     }
@@ -253,6 +275,7 @@
     std::atomic<bool> stop_{false};
     CURLM* multi_;
     std::map<CURL*, std::unique_ptr<transfer>> active_;
+    std::vector<CURL*> idle_; ///< Used by the thread only.
     std::thread thread_;
 };
 
--- a/src/shell_peer_link.cpp
+++ b/src/shell_peer_link.cpp
@@ -38,6 +38,23 @@
     return static_cast<long>(value.count());
 }
 
+/// Field of a body that is only bytes.
+constexpr char payload_field[] = "payload";
+
+json to_binary(const std::string& bytes)
+{
+    return json::binary({bytes.begin(), bytes.end()});
+}
+
+peer_received to_received(const std::string& from, const peer_frame& frame)
+{
+    const auto payload = frame.body.find(payload_field);
+    if (payload == frame.body.end() || !payload->is_binary())
+        return {from, frame.type, frame.body.dump(), {}};
+    const auto& bytes = payload->get_binary();
+    return {from, frame.type, {}, {bytes.begin(), bytes.end()}};
+}
+
 /// A connection that a peer opened to this host.
 struct incoming
 {
@@ -304,8 +321,7 @@
             on_proof(h, found->second, *frame);
             break;
         case incoming::step::authenticated:
-            sink_(peer_received{found->second.from, frame->type,
-                                frame->body.dump()});
+            sink_(to_received(found->second.from, *frame));
             break;
         case incoming::step::refused:
             break;
@@ -585,7 +601,8 @@
                 auto room = found->second->connection->get_buffered_amount();
                 while (!ring.empty() && room < config::peer_send_buffer_bytes)
                 {
-                    room += ring.front().body.size();
+                    room +=
+                        ring.front().body.size() + ring.front().payload.size();
                     taken.emplace_back(found->second, std::move(ring.front()));
                     ring.pop_front();
                 }
@@ -593,9 +610,12 @@
             }
             drain_posted_ = held_back;
         }
-        for (const auto& [peer, message] : taken)
+        for (auto& [peer, message] : taken)
         {
-            const auto body = json::parse(message.body, nullptr, false);
+            const auto body =
+                message.payload.empty()
+                    ? json::parse(message.body, nullptr, false)
+                    : json{{payload_field, to_binary(message.payload)}};
             if (!body.is_object() || !peer->connection ||
                 send_frame(peer->connection, message.type, body))
                 count("not_sent");
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -261,6 +261,8 @@
     /// Whether advice lets a worker run a step.
     std::function<bool(const std::string& worker)> is_good =
         [](const std::string&) { return true; };
+    /// The same, by step; goes before `is_good`.
+    std::function<bool(const worker_call&, const std::string&)> step_is_good;
     std::map<cell_task_id, unsigned> done_ends;
     std::map<cell_task_id, unsigned> starts;
     std::vector<std::string> violations;
@@ -633,9 +635,20 @@
             answer.id = call.id;
             answer.status = order_status::ok;
             for (const auto& id : call.workers)
-                if (is_good(id))
+                if (step_is_good ? step_is_good(call, id) : is_good(id))
                     answer.tickets.push_back({id, "ticket"});
-            after(milliseconds(8), [reply, answer] { reply(answer); });
+            // Calls of one host are served one after the other.
+            double cost = 8;
+            for (const auto& queue : rows.configs.back()->queues())
+                if (queue.advice && advice_queue(call) == queue.name)
+                    cost = advice_ms(*queue.advice, call.workers.size());
+            auto& free_at = advice_free_at_[name];
+            free_at = std::max(free_at, now) +
+                      std::chrono::microseconds(
+                          static_cast<std::int64_t>(cost * 1000));
+            after(std::chrono::duration_cast<milliseconds>(free_at - now) +
+                      milliseconds(1),
+                  [reply, answer] { reply(answer); });
             return;
         }
         auto& worker = workers[call.address];
@@ -847,8 +860,9 @@
         after(milliseconds(2),
               [this, name, life, message]
               {
-                  deliver(message.to, life,
-                          peer_received{name, message.type, message.body});
+                  deliver(
+                      message.to, life,
+                      peer_received{name, message.type, {}, message.payload});
               });
     }
 
@@ -872,10 +886,17 @@
     }
 
 public:
+    /// Queue of a job, where calls for advice take the time of its queue.
+    std::function<std::string(const std::string& job)> queue_name;
+    std::string advice_queue(const worker_call& call) const
+    {
+        return queue_name ? queue_name(call.task.job) : std::string();
+    }
     /// Amount of each task of a job, for the check of capacity.
     std::map<std::string, resources> amounts;
 
 private:
+    std::map<std::string, time_point> advice_free_at_;
     std::priority_queue<timer> timers_;
     std::uint64_t sequence_ = 0;
     call_id calls_ = 0;
--- a/tests/test_cell_order.cpp
+++ b/tests/test_cell_order.cpp
@@ -72,21 +72,32 @@
     input.objective = start + milliseconds(1500);
     input.late_end = start + milliseconds(4500);
     input.chain_ms = 800;
-    input.cores = 100;
-    input.work_before = 100 * 3000.0;
+    input.wait_ms = 3000;
     CHECK(admit(input).code == result_code::ok);
     input.excess = true;
     CHECK(admit(input).code == result_code::team_queue_full);
     input.excess = false;
-    input.work_before = 100 * 9000.0;
+    input.wait_ms = 9000;
     const auto refused = admit(input);
     CHECK(refused.code == result_code::team_queue_full);
     CHECK(refused.retry_after_ms == 9000 + 800 - 4500);
-    input.work_before = 0;
+    input.wait_ms = 0;
     input.store_failing = true;
     CHECK(admit(input).code == result_code::store_unavailable);
 }
 
+TEST_CASE("The backlog of a customer at its limit delays itself, not others")
+{
+    // Guards against refusals while most of the cell is free.
+    const std::vector<customer_backlog> backlogs{{"hot", 1e6, 20},
+                                                 {"calm", 1000, 0}};
+    CHECK(expected_wait_ms(backlogs, "hot", 100) == Approx(50000));
+    CHECK(expected_wait_ms(backlogs, "calm", 100) < 200);
+    CHECK(expected_wait_ms({{"a", 1e5, 0}, {"b", 1e5, 0}}, "c", 100) ==
+          Approx(2000));
+    CHECK(expected_wait_ms(backlogs, "calm", 0) == 0);
+}
+
 TEST_CASE("Small tasks fill gaps and leave whole workers to gangs")
 {
     cell_workers workers;
--- a/tests/test_shell_peer_link.cpp
+++ b/tests/test_shell_peer_link.cpp
@@ -192,6 +192,22 @@
     CHECK(json::parse(a.received()[0].body)["seq"] == 8);
 }
 
+TEST_CASE("bytes pass as they are")
+{
+    // Guards against a payload that is read as text or renamed on the way.
+    endpoint a("a");
+    endpoint b("b");
+    a.link().set_peers({{{"b", b.address()}}});
+    REQUIRE(eventually(5s, [&] { return a.connected("b"); }));
+    std::string bytes;
+    for (int i = 0; i < 256; ++i)
+        bytes += static_cast<char>(i);
+    a.link().send({"b", "cell", "", bytes});
+    REQUIRE(eventually(5s, [&] { return !b.received().empty(); }));
+    CHECK(b.received()[0].type == "cell");
+    CHECK(b.received()[0].payload == bytes);
+}
+
 TEST_CASE("hosts with different secrets do not connect")
 {
     // Guards against a host of another cluster that grants or relays.
