Count leases from the last confirmed commit of the owner

Trace: the owner was in the data centre that was cut off, also from the store; another host had claimed the cell at 35.4 s, heard the ends and acknowledged them; the old owner took the leases of the other workers as over at 39.1 s and started their tasks again on its own side. Now a lease ends 6 s after the last commit that proved ownership, as a later owner's wait assumes, and an owner without a proof for 0.7 s takes no lease as over. Also: a beat sent again had another sequence, so its own first copy looked like another owner.

--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -379,6 +379,7 @@
     election_claims_ = step == cell_election::step::claim;
     if (election_claims_)
     {
+        claim_sent_ = now;
         store_commit commit;
         commit.op = op;
         commit.writes.push_back({cell_table::owner, owner_key,
@@ -395,9 +396,9 @@
     context_.log(
         log_code::cell_claimed,
         fmt::format("epoch={} version={}", election_.epoch(), version));
-    owner_ =
-        std::make_unique<cell_owner>(context_, static_cast<owner_links&>(*this),
-                                     election_.claim_row(), version, now);
+    owner_ = std::make_unique<cell_owner>(
+        context_, static_cast<owner_links&>(*this), election_.claim_row(),
+        version, claim_sent_, now);
     followed_.clear();
     next_heartbeat_ = now;
     next_member_op_ = now;
--- a/src/cell_host_p.hpp
+++ b/src/cell_host_p.hpp
@@ -111,6 +111,7 @@
     std::vector<peer_address> peers_;
     std::optional<op_id> election_op_;
     bool election_claims_ = false;
+    time_point claim_sent_;
     std::optional<op_id> secret_op_;
     time_point next_secret_;
     bool has_secret_ = false;
--- a/src/cell_journal.cpp
+++ b/src/cell_journal.cpp
@@ -44,8 +44,9 @@
     }
 }
 
-cell_journal::cell_journal(owner_row owner, std::uint64_t version)
-    : owner_(std::move(owner)), version_(version)
+cell_journal::cell_journal(owner_row owner, std::uint64_t version,
+                           time_point claim_sent)
+    : owner_(std::move(owner)), version_(version), confirmed_at_(claim_sent)
 {
 }
 
@@ -98,9 +99,10 @@
 {
     if (in_flight_ || released_ || now < next_commit_)
         return std::nullopt;
-    if (batch_.empty())
+    // A commit whose answer was lost is sent again as it was, row for row.
+    if (!unsettled_)
     {
-        if (queue_.empty() && !owner_.released &&
+        if (queue_.empty() && !release_wanted_ &&
             now < last_written_ + config::cell_beat_period)
             return std::nullopt;
         std::size_t bytes = 0;
@@ -114,6 +116,9 @@
             queue_.pop_front();
         }
         ++owner_.sequence;
+        owner_.released = release_wanted_;
+        unsettled_ = true;
+        first_sent_ = now;
     }
     store_commit commit;
     commit.op = op;
@@ -131,7 +136,9 @@
 {
     version_ = version;
     failures_ = 0;
+    unsettled_ = false;
     last_written_ = now;
+    confirmed_at_ = first_sent_;
     released_ = owner_.released;
     const auto written = std::exchange(batch_, {});
     for (const auto& each : written)
--- a/src/cell_journal_p.hpp
+++ b/src/cell_journal_p.hpp
@@ -65,8 +65,9 @@
     };
     using continuation = std::function<void()>;
 
-    /// `version` is that of the owner's row, which holds `owner`.
-    cell_journal(owner_row owner, std::uint64_t version);
+    /// `version` is that of the owner's row, which holds `owner`; the claim
+    /// that wrote it was sent at `claim_sent`.
+    cell_journal(owner_row owner, std::uint64_t version, time_point claim_sent);
 
     /// Queues a write; a queued one of the same row is replaced. `durable`
     /// runs when the write is confirmed.
@@ -90,7 +91,7 @@
     /// Gives the row up with the next commit.
     void release()
     {
-        owner_.released = true;
+        release_wanted_ = true;
     }
     bool is_released() const
     {
@@ -109,6 +110,11 @@
     {
         return last_written_;
     }
+    /// No other host owned the cell at this moment. After it one may.
+    time_point confirmed_at() const
+    {
+        return confirmed_at_;
+    }
 
 private:
     struct item
@@ -123,11 +129,15 @@
     owner_row owner_;
     std::uint64_t version_;
     std::deque<item> queue_;
-    std::vector<item> batch_; ///< In flight, or to be sent again.
+    std::vector<item> batch_; ///< Of the unsettled commit.
     bool in_flight_ = false;
+    bool unsettled_ = false; ///< Sent, and its effect is not known.
+    bool release_wanted_ = false;
     op_id op_;
     time_point next_commit_;
     time_point last_written_;
+    time_point first_sent_; ///< Of the batch.
+    time_point confirmed_at_;
     unsigned failures_ = 0;
     bool released_ = false;
 };
--- a/src/cell_limits_p.hpp
+++ b/src/cell_limits_p.hpp
@@ -19,6 +19,9 @@
 /// The owner's row unchanged for so long means that the owner is gone. Covers
 /// two beats and a slow answer of the store.
 constexpr auto cell_owner_timeout = 800ms;
+/// An owner without a confirmed commit for so long may have been taken over:
+/// others claim after `cell_owner_timeout` at the earliest.
+constexpr auto cell_owner_doubt = 700ms;
 /// Messages of the owner; the other hosts answer each.
 constexpr auto cell_heartbeat_period = 200ms;
 /// Silence after which a link is taken as broken.
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -30,9 +30,10 @@
 } // namespace
 
 cell_owner::cell_owner(cell_context& context, owner_links& links, owner_row row,
-                       std::uint64_t version, time_point now)
-    : context_(context), links_(links), journal_(std::move(row), version),
-      claimed_at_(now)
+                       std::uint64_t version, time_point claim_sent,
+                       time_point now)
+    : context_(context), links_(links),
+      journal_(std::move(row), version, claim_sent), claimed_at_(now)
 {
     for (int i = 0; i < static_cast<int>(load_part::count); ++i)
         scan(static_cast<load_part>(i), "");
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -70,6 +70,9 @@
 
 void cell_owner::dispatch(time_point now)
 {
+    // A start that could not be given a lease would be refused.
+    if (lease_left(now) < duration(config::cell_start_timeout))
+        return;
     auto ready = ready_steps(now);
     for (auto at = reservations_.begin(); at != reservations_.end();)
     {
@@ -177,7 +180,10 @@
     entry.fills = spec.fills;
     entry.customer = job.customer();
     entry.step_key = ready.key;
-    entry.start_until_ms = at.clock_at(now) + config::cell_start_window.count();
+    entry.start_until_ms =
+        at.clock_at(now) +
+        std::min(duration(config::cell_start_window), lease_left(now)) /
+            std::chrono::milliseconds(1);
     worker_call call;
     call.order = worker_order::start;
     call.worker = at.report().id;
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -53,9 +53,10 @@
 class cell_owner
 {
 public:
-    /// `version` is that of the row that names this host as the owner.
+    /// `version` is that of the row that names this host as the owner, written
+    /// by a claim that was sent at `claim_sent`.
     cell_owner(cell_context& context, owner_links& links, owner_row row,
-               std::uint64_t version, time_point now);
+               std::uint64_t version, time_point claim_sent, time_point now);
 
     /// True when the event belonged to the owner.
     bool on_store(time_point now, const store_result& result);
@@ -198,6 +199,10 @@
     std::uint64_t send_call(time_point now, const std::string& agent,
                             worker_call call, pending_call pending);
     std::string agent_for(const cell_worker& worker, unsigned attempt) const;
+    /// Longest lease that may be granted now, zero when none may.
+    duration lease_left(time_point now) const;
+    /// False when another host may own the cell by now.
+    bool is_confirmed(time_point now) const;
     void hold_due(time_point now);
     void hold(time_point now, cell_worker& worker);
     void send_stops(time_point now, cell_worker& worker);
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -11,6 +11,8 @@
 namespace
 {
 
+using std::chrono::milliseconds;
+
 std::string name_of(const cell_task_id& task)
 {
     return fmt::format("{}.{}.{}.{}", task.job, task.occurrence, task.step,
@@ -219,6 +221,19 @@
 
 // --------------------------------------------------------------------- holds
 
+/// A later owner waits for the longest lease from its claim on. The claim is
+/// later than the last commit of this one, so leases are counted from that.
+duration cell_owner::lease_left(time_point now) const
+{
+    return std::max(duration(0), journal_.confirmed_at() +
+                                     duration(config::cell_worker_lease) - now);
+}
+
+bool cell_owner::is_confirmed(time_point now) const
+{
+    return now <= journal_.confirmed_at() + config::cell_owner_doubt;
+}
+
 void cell_owner::hold_due(time_point now)
 {
     std::vector<std::string> gone;
@@ -227,7 +242,10 @@
         send_stops(now, worker);
         if (worker.hold_call != 0)
             continue;
-        if (!worker.reachable && now >= worker.lease_over())
+        // Another host that has taken the cell over may have heard of ends
+        // that this one can not see.
+        if (!worker.reachable && now >= worker.lease_over() &&
+            is_confirmed(now))
         {
             if (!worker.runs().empty())
                 lose_runs(now, worker, "lease_over");
@@ -270,10 +288,10 @@
     call.timeout_ms = call.wait_ms + config::cell_hold_timeout.count();
     // A worker that does not answer gets no longer lease: its tasks could not
     // run elsewhere before the end of the last one.
-    if (worker.has_clock() && worker.hold_failures == 0)
+    const auto lease = lease_left(now);
+    if (worker.has_clock() && worker.hold_failures == 0 && lease > duration(0))
     {
-        call.lease_until_ms =
-            worker.clock_at(now) + config::cell_worker_lease.count();
+        call.lease_until_ms = worker.clock_at(now) + lease / milliseconds(1);
         worker.note_lease(call.lease_until_ms);
     }
     worker.hold_sent = now;
--- a/tests/test_cell_recovery.cpp
+++ b/tests/test_cell_recovery.cpp
@@ -181,6 +181,50 @@
     CHECK(cell.violations.empty());
 }
 
+TEST_CASE("An owner cut off with some workers starts nothing of the others")
+{
+    // h0's side is cut off from the store, the other hosts and half of the
+    // workers. Guards against an owner that takes the leases of workers as
+    // over while its successor has heard their ends.
+    running_cell cell(3, 8);
+    const auto first = cell.owner();
+    cell.plan = [](const cell_task_id&, std::uint32_t) {
+        return fake_run{time_point(milliseconds(1500)), end_kind::done, {}};
+    };
+    cell.load(1, 14, cell.other_than_owner());
+    cell.run(milliseconds(400));
+    cell.hosts[first].reaches_store = false;
+    for (const auto& [name, slot] : cell.hosts)
+        if (name != first)
+            cell.cut_links.insert({first, name});
+    // Workers 0 to 3 are on the owner's side.
+    cell.side_of = [first](const std::string& name)
+    {
+        if (name[0] == 'h')
+            return name == first ? 1 : 2;
+        return name < "w4" ? 1 : 2;
+    };
+    cell.run(milliseconds(7500));
+    CHECK(cell.violations == std::vector<std::string>());
+    cell.side_of = nullptr;
+    cell.cut_links.clear();
+    cell.hosts[first].reaches_store = true;
+    cell.run(milliseconds(9000));
+    cell.check_all_done(1, 14);
+}
+
+TEST_CASE("A beat whose answer is lost does not cost the cell")
+{
+    running_cell cell;
+    const auto owner = cell.owner();
+    cell.store_loses_answers = true;
+    cell.run(milliseconds(700));
+    cell.store_loses_answers = false;
+    cell.run(milliseconds(1500));
+    CHECK(cell.owner() == owner);
+    CHECK(cell.hosts[owner].host->owner()->row().epoch == 1);
+}
+
 TEST_CASE("A planned stop hands the cell on and cuts no call")
 {
     running_cell cell;
