--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -329,7 +329,7 @@
     input.store_failing = journal_.is_failing();
     input.jobs = jobs_.size();
     input.wait_ms =
-        expected_wait_ms(backlogs_before(*job), customer, usable_cores());
+        expected_wait_ms(backlogs_before(now, *job), customer, usable_cores());
     const auto admitted = admit(input);
     if (admitted.code != result_code::ok)
     {
@@ -439,13 +439,17 @@
 }
 
 std::vector<customer_backlog>
-cell_owner::backlogs_before(const cell_job& job) const
+cell_owner::backlogs_before(time_point now, const cell_job& job) const
 {
     std::map<std::string, double> work;
     for (const auto& [id, other] : jobs_)
     {
-        if (!is_final(other->phase()) && (!other->excess || job.excess) &&
-            other->objective <= job.objective)
+        // A job that has missed its objective waits behind those that can
+        // still meet theirs.
+        const bool goes_first = other->objective <= job.objective &&
+                                now <= other->objective &&
+                                (!other->excess || job.excess);
+        if (!is_final(other->phase()) && goes_first)
             work[other->customer()] += other->work_left();
     }
     std::vector<customer_backlog> result;
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -201,7 +201,8 @@
     void on_final(time_point now, const std::string& id, job_phase phase);
     void count_waiting();
     /// Accepted work that goes before `job`, by customer.
-    std::vector<customer_backlog> backlogs_before(const cell_job& job) const;
+    std::vector<customer_backlog> backlogs_before(time_point now,
+                                                  const cell_job& job) const;
     /// Of workers that may take new work.
     double usable_cores() const;
 
--- a/tests/test_cell_path.cpp
+++ b/tests/test_cell_path.cpp
@@ -199,3 +199,23 @@
     cell.run(milliseconds(300));
     CHECK_FALSE(cell.workers["w0"].runs.empty());
 }
+
+TEST_CASE("Work that has missed its objective refuses nothing that is fresh")
+{
+    // A backlog of 20 s, most of it late. Guards against refusals of urgent
+    // work that goes before all of it.
+    started_cell cell;
+    cell.plan = [](const cell_task_id&, std::uint32_t) {
+        return fake_run{time_point(milliseconds(1000)), end_kind::done, {}};
+    };
+    cell.configure(cell.default_queues(), {{"big", {"key-big"}, 1000, {}}});
+    cell.run(milliseconds(100));
+    for (unsigned job = 1; job <= 30; ++job)
+        cell.submit("h0", job, cell.tasks(8, 4000, 1000));
+    cell.run(milliseconds(8000));
+    const auto fresh = cell.submit("h1", 99, cell.tasks(1, 1000), "urgent");
+    cell.run(milliseconds(100));
+    CHECK(cell.code_of(fresh) == result_code::ok);
+    cell.run(milliseconds(2500));
+    CHECK(cell.phase(99, "urgent") == "completed");
+}
