--- a/src/cell_job_p.hpp
+++ b/src/cell_job_p.hpp
@@ -174,7 +174,6 @@
     time_point late_end;  ///< Worth nothing from here on.
     bool excess = false;  ///< Beyond what the customer may send.
     bool durable = false;
-    std::string origin; ///< Entry host that took it in.
 
 private:
     occurrence_run& occurrence_at(std::uint32_t number, time_point now);
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -318,7 +318,6 @@
     }
     const auto* owner = context_.config->customer_named(customer);
     job->excess = owner && !rates_.take(now, customer, owner->weight);
-    job->origin = from.host;
     set_objective(now, *job);
     admission_input input;
     input.now = now;
