Call an outcome unknown when a request went out before its connection broke

Cause: libcurl retries on a new connection when a pooled one breaks, and reports only that the new one could not be made.

The request counts as not sent only when no byte of it went out. test_shell_http_client fails without the change (not_sent instead of unknown).

--- a/src/shell_http_client.cpp
+++ b/src/shell_http_client.cpp
@@ -83,7 +83,10 @@
     return size * count;
 }
 
-send_status status_of(CURLcode code)
+/// `issued`: some of the request went out on an earlier connection. When a
+/// pooled connection breaks, the library tries a new one, and reports only
+/// that this could not be made.
+send_status status_of(CURLcode code, bool issued)
 {
     switch (code)
     {
@@ -93,7 +96,7 @@
     case CURLE_COULDNT_RESOLVE_HOST:
     case CURLE_URL_MALFORMAT:
     case CURLE_UNSUPPORTED_PROTOCOL:
-        return send_status::not_sent;
+        return issued ? send_status::unknown : send_status::not_sent;
     default:
         return send_status::unknown;
     }
@@ -245,8 +248,11 @@
             long http_status = 0;
             curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &http_status);
             item->response.http_status = static_cast<int>(http_status);
+            long request_bytes = 0;
+            curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &request_bytes);
+            const bool issued = request_bytes > 0 || item->body_sent > 0;
             keep_handle(*item);
-            complete(*item, status_of(code));
+            complete(*item, status_of(code, issued));
         }
     }
 
