Notice lost answers and silent owners sooner; keep urgent work off reserved workers

(1) A list whose answer is lost hid all ends of its worker for up to 3.4 s (wait 2 s, timeout 1 s, margin 0.4 s). (2) A lost start was settled after 1.5 s. (3) After a cut of the owner others looked at its row only when its link was given up after 1 s, and then for 0.8 s more: 2.15 s without an owner. (4) Hosts that are cut off told callers to wait a second though other hosts could serve them at once. Ruled out: waiting for room, advice, time from the last end to the final state (25 ms).

Lists wait 0.5 s at most (1 s where nothing runs); a start without an answer goes to the same worker again, under the same run; the owner's row is watched from the second missed heartbeat on; a host that is cut off sends its callers elsewhere at once.

--- a/src/cell_election.cpp
+++ b/src/cell_election.cpp
@@ -21,6 +21,11 @@
     return owns_ || (heard_ && now <= heard_at_ + config::cell_link_timeout);
 }
 
+bool cell_election::is_owner_suspect(time_point now) const
+{
+    return !heard_ || now > heard_at_ + config::cell_owner_suspicion;
+}
+
 void cell_election::on_heard(time_point now, std::uint64_t epoch,
                              const std::string& host,
                              const std::string& address, bool store_ok)
@@ -49,9 +54,12 @@
 {
     if (owns_ || busy_ || stopping_)
         return step::none;
-    if (is_owner_heard(now) && owner_store_ok_)
+    if (!is_owner_suspect(now) && owner_store_ok_)
         return step::none;
-    if (claim_at_ && now >= *claim_at_)
+    // The row is watched from the first missed heartbeats on, so that its
+    // silence and that of the link are waited for at the same time.
+    const bool may_claim = !is_owner_heard(now) || !owner_store_ok_;
+    if (may_claim && claim_at_ && now >= *claim_at_)
     {
         claim_at_.reset();
         claim_ = {(known_ ? known_->epoch : 0) + 1,
@@ -117,8 +125,10 @@
     // The row of an earlier process of this host needs no wait, and neither
     // does one that was given up.
     const bool free = row->host == host_ || row->released;
-    const bool silent =
-        !changed && now >= known_since_ + config::cell_owner_timeout;
+    const auto timeout = is_owner_heard(now)
+                             ? config::cell_failing_owner_timeout
+                             : config::cell_owner_timeout;
+    const bool silent = !changed && now >= known_since_ + timeout;
     if (free || silent)
         schedule_claim(now);
 }
--- a/src/cell_election_p.hpp
+++ b/src/cell_election_p.hpp
@@ -77,6 +77,8 @@
 
 private:
     void schedule_claim(time_point now);
+    /// Heartbeats are missing, though the link is not given up yet.
+    bool is_owner_suspect(time_point now) const;
 
     const std::string host_;
     const std::string incarnation_;
--- a/src/cell_event_p.hpp
+++ b/src/cell_event_p.hpp
@@ -47,9 +47,9 @@
     std::string detail;
     std::optional<job_phase> phase;       ///< Answer to a status call.
     std::optional<std::uint64_t> waiting; ///< Answer to a count.
-    /// When a refused caller may come back; 0: not said.
-    std::int64_t retry_after_ms = 0;
-    bool closing = false; ///< The host is stopping; use another connection.
+    /// When a refused caller may come back; nothing: not said.
+    std::optional<std::int64_t> retry_after_ms;
+    bool closing = false; ///< Other hosts serve; use another connection.
 };
 
 // ------------------------------------------------------------------ store
--- a/src/cell_front.cpp
+++ b/src/cell_front.cpp
@@ -52,12 +52,14 @@
 
 void cell_front::answer(caller_answer answer)
 {
-    answer.closing = closing_;
+    answer.closing = answer.closing || closing_;
     context_.out.emplace_back(std::move(answer));
 }
 
 void cell_front::refuse(time_point now, const caller_request& request,
-                        result_code code, std::int64_t retry_after_ms)
+                        result_code code,
+                        std::optional<std::int64_t> retry_after_ms,
+                        bool elsewhere)
 {
     context_.counters.count_refusal(code);
     context_.log(
@@ -70,16 +72,27 @@
     out.id = request.id;
     out.code = code;
     out.retry_after_ms = retry_after_ms;
+    out.closing = elsewhere;
     answer(std::move(out));
 }
 
+void cell_front::refuse_here(time_point now, const caller_request& request,
+                             result_code code)
+{
+    refuse(now, request, code, retry_after_ms(), !store_failing_);
+}
+
+std::int64_t cell_front::retry_after_ms() const
+{
+    return store_failing_ ? config::cell_retry_after.count() : 0;
+}
+
 void cell_front::count_waiting(time_point now, const caller_request& request,
                                const queue_config& queue)
 {
     if (now > waiting_at_ + count_validity)
     {
-        refuse(now, request, result_code::owner_unknown,
-               config::cell_retry_after.count());
+        refuse_here(now, request, result_code::owner_unknown);
         return;
     }
     const auto found = waiting_.find(queue.name);
@@ -106,7 +119,7 @@
     }
     if (!queue->open && !is_config_fresh(now))
     {
-        refuse(now, request, result_code::configuration_stale, retry);
+        refuse_here(now, request, result_code::configuration_stale);
         return;
     }
     const auto* customer = context_.config->customer_of_key(request.key);
@@ -179,7 +192,8 @@
     caller_answer out;
     out.id = found->first;
     out.code = static_cast<result_code>(item.value("code", 0U));
-    out.retry_after_ms = item.value("retry", std::int64_t{0});
+    if (item.contains("retry"))
+        out.retry_after_ms = item["retry"].get<std::int64_t>();
     if (item.contains("p"))
         out.phase = job_phase_from(item["p"].get<std::string>());
     context_.counters.observe("carobcourse_call_seconds",
@@ -230,7 +244,10 @@
         caller_answer out;
         out.id = id;
         out.code = code;
-        out.retry_after_ms = config::cell_retry_after.count();
+        const bool elsewhere =
+            code == result_code::owner_unknown && !store_failing_;
+        out.retry_after_ms = elsewhere ? 0 : config::cell_retry_after.count();
+        out.closing = elsewhere;
         answer(std::move(out));
         calls_.erase(id);
     }
--- a/src/cell_front_p.hpp
+++ b/src/cell_front_p.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 #include "cell_context_p.hpp"
@@ -46,6 +47,12 @@
         config_confirmed_ = std::max(config_confirmed_, at);
     }
     bool is_config_fresh(time_point now) const;
+    /// The owner says whether its commits fail. While they do, no host can
+    /// take work.
+    void set_store_failing(bool failing)
+    {
+        store_failing_ = failing;
+    }
     void set_closing()
     {
         closing_ = true;
@@ -69,7 +76,13 @@
     static void send(pending_call& call, const sender& to_owner);
     void answer(caller_answer answer);
     void refuse(time_point now, const caller_request& request, result_code code,
-                std::int64_t retry_after_ms = 0);
+                std::optional<std::int64_t> retry_after_ms = {},
+                bool elsewhere = false);
+    /// Refuses for a trouble of this host: another one may serve the call at
+    /// once, unless the store fails for all.
+    void refuse_here(time_point now, const caller_request& request,
+                     result_code code);
+    std::int64_t retry_after_ms() const;
     void count_waiting(time_point now, const caller_request& request,
                        const queue_config& queue);
 
@@ -78,6 +91,7 @@
     std::map<std::string, std::uint64_t> waiting_;
     time_point waiting_at_;
     time_point config_confirmed_;
+    bool store_failing_ = false;
     bool closing_ = false;
 };
 
--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -351,6 +351,7 @@
                        item.at("ok").get<bool>());
     front_.set_waiting(
         now, item.at("w").get<std::map<std::string, std::uint64_t>>());
+    front_.set_store_failing(!item.at("ok").get<bool>());
     if (item.at("seen").get<bool>())
         acks_seen_at_ = now;
     post(from, {{"k", "ack"}, {"leaving", stopping_}});
@@ -434,6 +435,7 @@
     next_heartbeat_ = now + config::cell_heartbeat_period;
     const bool store_ok = !owner_->is_store_failing() ||
                           now <= owner_->last_written() + owner_store_patience;
+    front_.set_store_failing(!store_ok);
     for (const auto& [host, member] : members_)
     {
         if (!member.connected)
--- a/src/cell_limits_p.hpp
+++ b/src/cell_limits_p.hpp
@@ -15,18 +15,23 @@
 constexpr auto cell_commit_retry = 100ms;
 constexpr auto cell_commit_retry_most = 500ms;
 /// An idle owner rewrites its row this often, so that others see it alive.
-constexpr auto cell_beat_period = 300ms;
-/// The owner's row unchanged for so long means that the owner is gone. Covers
-/// two beats and a slow answer of the store.
-constexpr auto cell_owner_timeout = 800ms;
+constexpr auto cell_beat_period = 250ms;
+/// The owner's row unchanged for so long, beside a silent link, means that the
+/// owner is gone. Covers a beat and some answers of the store.
+constexpr auto cell_owner_timeout = 450ms;
+/// The same for an owner that is heard and says that its commits fail. Covers
+/// its longest pause between two tries.
+constexpr auto cell_failing_owner_timeout = 800ms;
 /// An owner without a confirmed commit for so long may have been taken over:
 /// others claim after `cell_owner_timeout` at the earliest.
-constexpr auto cell_owner_doubt = 700ms;
+constexpr auto cell_owner_doubt = 400ms;
 /// Messages of the owner; the other hosts answer each.
 constexpr auto cell_heartbeat_period = 200ms;
-/// Silence after which a link is taken as broken.
-constexpr auto cell_link_timeout = 1000ms;
-constexpr auto cell_owner_read_period = 300ms;
+/// Silence of the owner after which the others watch its row: two heartbeats.
+constexpr auto cell_owner_suspicion = 450ms;
+/// Silence after which a link is taken as broken: three heartbeats.
+constexpr auto cell_link_timeout = 700ms;
+constexpr auto cell_owner_read_period = 150ms;
 /// Claims are spread over this time, so that few collide.
 constexpr auto cell_claim_spread = 120ms;
 constexpr auto cell_member_poll_period = 1000ms;
@@ -50,16 +55,23 @@
 constexpr int cell_clock_drift_percent = 2;
 /// A start that arrives later than this is refused by the worker, so that one
 /// without an answer is settled soon.
-constexpr auto cell_start_window = 1500ms;
-constexpr auto cell_start_timeout = 1000ms;
-constexpr auto cell_hold_wait = 2000ms;
-constexpr auto cell_hold_timeout = 1000ms;
-constexpr auto cell_hold_retry = 200ms;
+constexpr auto cell_start_window = 700ms;
+/// Far above the few milliseconds of a start between data centres.
+constexpr auto cell_start_timeout = 250ms;
+/// Times that a start without an answer is sent.
+constexpr unsigned cell_start_attempts = 3;
+/// Longest wait of a worker that runs something for news. Bounds the time in
+/// which a lost answer hides ends; each call is priced.
+constexpr auto cell_hold_wait = 500ms;
+/// The same for a worker that runs nothing.
+constexpr auto cell_hold_wait_idle = 1000ms;
+constexpr auto cell_hold_timeout = 300ms;
+constexpr auto cell_hold_retry = 100ms;
 /// Wait for a commit before a worker with unacknowledged ends is asked again.
 constexpr auto cell_ack_patience = 400ms;
 constexpr auto cell_stop_retry = 500ms;
 /// Added to the time of a call that another host makes.
-constexpr auto cell_relay_margin = 400ms;
+constexpr auto cell_relay_margin = 250ms;
 /// A worker that refused a start is left alone for so long.
 constexpr auto cell_refusal_pause = 300ms;
 /// A worker whose starts get no answer is left alone for this long each.
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -125,9 +125,10 @@
     {
         if (!is_usable(now, worker, ready.queue->service, step))
             return;
-        if (!urgent && is_reserved(worker.report().id, ready.key))
+        const bool reserved = is_reserved(worker.report().id, ready.key);
+        if (reserved && !urgent)
             return;
-        result.push_back({&worker, ticket});
+        result.push_back({&worker, ticket, reserved});
     };
     if (!ready.queue->advice)
     {
@@ -180,21 +181,7 @@
     entry.fills = spec.fills;
     entry.customer = job.customer();
     entry.step_key = ready.key;
-    entry.start_until_ms =
-        at.clock_at(now) +
-        std::min(duration(config::cell_start_window), lease_left(now)) /
-            std::chrono::milliseconds(1);
-    worker_call call;
-    call.order = worker_order::start;
-    call.worker = at.report().id;
-    call.address = at.report().address;
-    call.timeout_ms = config::cell_start_timeout.count();
-    call.task = id;
-    call.run = run;
-    call.payload = job.spec().payload;
-    call.checkpoint = task.checkpoint;
-    call.ticket = ticket;
-    call.lease_until_ms = entry.start_until_ms;
+    entry.start_checkpoint = task.checkpoint;
     workers_.add_run(at, {id, run}, std::move(entry));
     if (!job.has_started())
     {
@@ -211,9 +198,39 @@
                              at.report().id, at.room().cpu_millis,
                              at.room().memory_mb, context_.config->version(),
                              row().epoch));
+    send_start(now, at, {id, run}, ticket, 0);
+}
+
+/// A worker takes a start once however often it is sent, so one without an
+/// answer is sent again to the same worker.
+void cell_owner::send_start(time_point now, cell_worker& worker,
+                            const run_key& key, const std::string& ticket,
+                            unsigned attempt)
+{
+    const auto& job = *jobs_.at(key.first.job);
+    auto& run = *worker.find(key);
+    const auto until =
+        worker.clock_at(now) +
+        std::min(duration(config::cell_start_window), lease_left(now)) /
+            std::chrono::milliseconds(1);
+    run.start_until_ms = std::max(run.start_until_ms, until);
+    worker_call call;
+    call.order = worker_order::start;
+    call.worker = worker.report().id;
+    call.address = worker.report().address;
+    call.timeout_ms = config::cell_start_timeout.count();
+    call.task = key.first;
+    call.run = key.second;
+    call.payload = job.spec().payload;
+    call.checkpoint = run.start_checkpoint;
+    call.ticket = ticket;
+    call.lease_until_ms = until;
     pending_call pending;
-    pending.key = {id, run};
-    send_call(now, agent_for(at, 0), std::move(call), std::move(pending));
+    pending.key = key;
+    pending.ticket = ticket;
+    pending.attempt = attempt;
+    send_call(now, agent_for(worker, attempt), std::move(call),
+              std::move(pending));
 }
 
 void cell_owner::place_tasks(time_point now, ready_step& ready)
@@ -359,6 +376,7 @@
     {
         const cell_worker* worker;
         std::uint32_t fits;
+        bool reserved;
         std::uint64_t rank;
     };
     std::vector<option> known;
@@ -368,7 +386,8 @@
     {
         if (!is_usable(now, worker, ready.queue->service, spec))
             continue;
-        if (!urgent && !spec.gang && is_reserved(id, ready.key))
+        const bool reserved = is_reserved(id, ready.key);
+        if (reserved && !urgent && !spec.gang)
             continue;
         const auto& room = spec.gang ? worker.report().capacity : worker.room();
         const auto fits =
@@ -376,7 +395,7 @@
         if (fits == 0)
             continue;
         const auto verdict = step->advice.by_worker.find(id);
-        const option each{&worker, fits, context_.random()};
+        const option each{&worker, fits, reserved, context_.random()};
         if (verdict == step->advice.by_worker.end())
             unknown.push_back(each);
         else if (verdict->second.good &&
@@ -405,8 +424,10 @@
     else
     {
         std::sort(unknown.begin(), unknown.end(),
-                  [](const option& a, const option& b)
-                  { return a.rank < b.rank; });
+                  [](const option& a, const option& b) {
+                      return std::tie(a.reserved, a.rank) <
+                             std::tie(b.reserved, b.rank);
+                  });
         // Enough known ones need no further verdicts.
         if (known_fits >= ready.waiting)
             unknown.clear();
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -143,6 +143,9 @@
         run_key key;
         time_point sent_at;
         time_point deadline;
+        // Of a start.
+        std::string ticket;
+        unsigned attempt = 0;
         // Of a call for advice.
         std::string job;
         std::uint32_t occurrence = 0;
@@ -265,6 +268,8 @@
     void start_task(time_point now, const ready_step& ready,
                     std::uint32_t index, const cell_worker& worker,
                     const std::string& ticket, std::uint32_t run);
+    void send_start(time_point now, cell_worker& worker, const run_key& key,
+                    const std::string& ticket, unsigned attempt);
 
     cell_context& context_;
     owner_links& links_;
@@ -301,6 +306,7 @@
     time_point next_worker_watch_;
     std::set<std::string> leased_;     ///< As recorded.
     std::set<std::string> unresolved_; ///< May run tasks of earlier owners.
+    bool has_unclear_ = true;          ///< Tasks wait for the workers above.
     std::map<std::uint64_t, pending_call> calls_;
     std::vector<cell_agent> agents_;
 
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -284,7 +284,10 @@
     // waiting; neither is there before its clock is known.
     const bool waits = worker.held && worker.reachable &&
                        worker.ends_seen == worker.ends_durable;
-    call.wait_ms = waits ? config::cell_hold_wait.count() : 0;
+    // Until a lost answer is noticed, ends on the worker are not heard of.
+    const auto wait = worker.runs().empty() ? config::cell_hold_wait_idle
+                                            : config::cell_hold_wait;
+    call.wait_ms = waits ? wait.count() : 0;
     call.timeout_ms = call.wait_ms + config::cell_hold_timeout.count();
     // A worker that does not answer gets no longer lease: its tasks could not
     // run elsewhere before the end of the last one.
@@ -599,6 +602,8 @@
 /// runs or can run nothing any more.
 void cell_owner::resolve_unclear(time_point now)
 {
+    if (!has_unclear_)
+        return;
     if (!unresolved_.empty())
     {
         const auto longest = config::cell_worker_lease *
@@ -610,6 +615,7 @@
                                  *unresolved_.begin()));
         unresolved_.clear();
     }
+    has_unclear_ = false;
     for (auto& [id, job] : jobs_)
     {
         for (auto& [number, occurrence] : job->occurrences())
@@ -660,7 +666,17 @@
                              name_of(pending.key.first), pending.key.second,
                              pending.worker, to_string(answer.status),
                              pending.agent));
-    if (answer.status == order_status::unknown)
+    const bool is_unknown = answer.status == order_status::unknown;
+    if (is_unknown && pending.attempt + 1 < config::cell_start_attempts &&
+        !run->stop_wanted && jobs_.count(pending.key.first.job) > 0 &&
+        lease_left(now) >= duration(config::cell_start_timeout))
+    {
+        send_start(now, worker, pending.key, pending.ticket,
+                   pending.attempt + 1);
+        return;
+    }
+    // A refusal of a repeated start says nothing about the copies before.
+    if (is_unknown || pending.attempt > 0)
     {
         // Settled by a later list, after the time in which it is taken.
         run->state = run_state::unclear;
--- a/src/cell_placement.cpp
+++ b/src/cell_placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <tuple>
 
 namespace carobcourse
 {
@@ -75,15 +76,15 @@
               const step_spec& step, std::uint64_t step_key)
 {
     const placement_candidate* best = nullptr;
-    std::pair<bool, std::int64_t> best_rank;
+    std::tuple<bool, bool, std::int64_t> best_rank;
     for (const auto& each : candidates)
     {
         const auto& worker = *each.worker;
         if (tasks_that_fit(worker.room(), step,
                            worker.runs_of_step(step_key)) == 0)
             continue;
-        const std::pair<bool, std::int64_t> rank{is_far(worker, step),
-                                                 left_over(worker, step)};
+        const std::tuple rank{is_far(worker, step), each.reserved,
+                              left_over(worker, step)};
         if (best && !(rank < best_rank))
             continue;
         best = &each;
--- a/src/cell_placement_p.hpp
+++ b/src/cell_placement_p.hpp
@@ -16,6 +16,7 @@
 {
     const cell_worker* worker = nullptr;
     std::string ticket;
+    bool reserved = false; ///< Kept for a gang; the last choice.
 };
 
 /// Tasks of a gang for one worker.
@@ -30,10 +31,11 @@
 std::uint32_t tasks_that_fit(const resources& room, const step_spec& step,
                              std::uint32_t already_there);
 
-/// Tightest fit, preferring the rack of the data; null when none fits.
+/// Tightest fit, preferring the rack of the data and workers that are not
+/// reserved; null when none fits.
 ///
 /// Answers a cell that is almost full with gangs among its work: small tasks
-/// fill gaps and leave whole workers to the gangs.
+/// fill gaps and leave whole workers to the gangs, also in a burst.
 const placement_candidate*
 choose_worker(const std::vector<placement_candidate>& candidates,
               const step_spec& step, std::uint64_t step_key);
--- a/src/cell_workers_p.hpp
+++ b/src/cell_workers_p.hpp
@@ -37,8 +37,9 @@
     bool stop_wanted = false;
     time_point next_stop;
     std::uint64_t stop_call = 0;
-    std::string checkpoint;
-    std::uint64_t step_key = 0; ///< Counts runs of one step on the worker.
+    std::string start_checkpoint; ///< That it was started from.
+    std::string checkpoint;       ///< Its latest one.
+    std::uint64_t step_key = 0;   ///< Counts runs of one step on the worker.
 };
 
 using run_key = std::pair<cell_task_id, std::uint32_t>;
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -215,6 +215,10 @@
     std::uint64_t next_end = 1;
     bool reachable = true;
     bool loses_answers = false;      ///< Calls take effect without an answer.
+    /// The same for single calls.
+    std::function<bool(const worker_call&)> loses;
+    /// Single calls that have no effect and no answer.
+    std::function<bool(const worker_call&)> drops;
     std::int64_t starts_late_ms = 0; ///< Starts are carried out this late.
     std::int64_t stop_ms = 0;        ///< A stop takes this long.
     struct waiting_hold
@@ -674,17 +678,19 @@
         const auto late = call.order == worker_order::start
                               ? milliseconds(worker.starts_late_ms)
                               : milliseconds(0);
-        if (crosses || !worker.reachable || late.count() > 0 ||
-            worker.loses_answers)
+        const bool loses =
+            worker.loses_answers || (worker.loses && worker.loses(call));
+        const bool drops = worker.drops && worker.drops(call);
+        if (crosses || !worker.reachable || late.count() > 0 || loses || drops)
         {
             worker_answer none;
             none.id = call.id;
             after(milliseconds(call.timeout_ms),
                   [reply, none] { reply(none); });
         }
-        if (crosses || !worker.reachable)
+        if (crosses || !worker.reachable || drops)
             return;
-        const bool answers = late.count() == 0 && !worker.loses_answers;
+        const bool answers = late.count() == 0 && !loses;
         after(milliseconds(1) + late,
               [this, call, reply, answers]
               {
--- a/tests/test_cell_order.cpp
+++ b/tests/test_cell_order.cpp
@@ -173,3 +173,18 @@
     CHECK(at.lease_over() >= start + milliseconds(6122));
     CHECK(at.clock_at(start + milliseconds(1000)) == 50980);
 }
+
+TEST_CASE("Urgent work takes workers kept for a gang last")
+{
+    const auto kept = worker("kept", 32000);
+    const auto other = worker("other", 32000);
+    step_spec step;
+    step.count = 1;
+    step.amount = {2600, 100, 0};
+    // The kept one would be the tighter fit.
+    std::vector<placement_candidate> all{{&kept, "", true},
+                                         {&other, "", false}};
+    CHECK(choose_worker(all, step, 1)->worker == &other);
+    all.pop_back();
+    CHECK(choose_worker(all, step, 1)->worker == &kept);
+}
