Send overdue commits again; spend the owner's time on what changed; keep room for gangs where it comes soonest

In bursts the owner fell behind: 1.5 to 3 s from the last end of a job to its final state. Under lost answers of the store each lost one stopped all commits for a second, and everything queued was refused.

A commit is sent again after four answer times; the store counts as failing after 0.5 s without effect. Verdicts, reservations and open workers go by number; a worker is looked at when something about it is new; rounds of dispatch keep a distance that grows with their size. A waiting gang keeps the workers where its tasks have room soonest, chooses anew each second, and its tickets are renewed meanwhile.

--- a/src/cell_advice.cpp
+++ b/src/cell_advice.cpp
@@ -36,28 +36,38 @@
     lanes_ = std::move(next);
 }
 
-std::optional<std::string> advice_lanes::begin(time_point now, double call_ms)
+std::vector<advice_lanes::lane>::const_iterator
+advice_lanes::best_for(double call_ms) const
 {
-    if (lanes_.empty())
-        return std::nullopt;
-    const bool is_long = call_ms > long_call_ms;
     const auto long_lanes =
         std::max<std::size_t>(1, lanes_.size() * long_lanes_of_ten / 10);
-    const auto first = is_long || lanes_.size() == 1
-                           ? lanes_.begin()
-                           : lanes_.begin() + static_cast<long>(long_lanes);
-    const auto last =
-        is_long ? lanes_.begin() + static_cast<long>(long_lanes) : lanes_.end();
-    const auto best = std::min_element(first, last,
-                                       [](const lane& a, const lane& b)
-                                       { return a.busy_until < b.busy_until; });
-    if (best->busy_until > now + (is_long ? long_queue : short_queue))
+    const auto border = lanes_.begin() + static_cast<long>(long_lanes);
+    const bool is_long = call_ms > long_call_ms;
+    return std::min_element(is_long || lanes_.size() == 1 ? lanes_.begin()
+                                                          : border,
+                            is_long ? border : lanes_.end(),
+                            [](const lane& a, const lane& b)
+                            { return a.busy_until < b.busy_until; });
+}
+
+bool advice_lanes::is_free(time_point now, double call_ms) const
+{
+    return !lanes_.empty() &&
+           best_for(call_ms)->busy_until <=
+               now + (call_ms > long_call_ms ? long_queue : short_queue);
+}
+
+std::optional<std::string> advice_lanes::begin(time_point now, double call_ms)
+{
+    if (!is_free(now, call_ms))
         return std::nullopt;
-    best->busy_until =
-        std::max(best->busy_until, now) +
+    auto& best =
+        lanes_[static_cast<std::size_t>(best_for(call_ms) - lanes_.cbegin())];
+    best.busy_until =
+        std::max(best.busy_until, now) +
         std::chrono::microseconds(static_cast<std::int64_t>(call_ms * 1000));
-    ++best->calls;
-    return best->host;
+    ++best.calls;
+    return best.host;
 }
 
 void advice_lanes::end(time_point now, const std::string& host)
--- a/src/cell_advice_p.hpp
+++ b/src/cell_advice_p.hpp
@@ -25,6 +25,8 @@
     /// Host for a call that takes `call_ms` at the service, and nothing when
     /// all lanes are taken. The lane is busy until then.
     std::optional<std::string> begin(time_point now, double call_ms);
+    /// Whether `begin` would find a host.
+    bool is_free(time_point now, double call_ms) const;
     /// The call of a lane has ended earlier than expected.
     void end(time_point now, const std::string& host);
 
@@ -35,6 +37,9 @@
         time_point busy_until;
         unsigned calls = 0;
     };
+    /// Lane that is free first, of those that take such a call.
+    std::vector<lane>::const_iterator best_for(double call_ms) const;
+
     std::vector<lane> lanes_;
 };
 
--- a/src/cell_job_p.hpp
+++ b/src/cell_job_p.hpp
@@ -47,7 +47,7 @@
         std::string ticket;
         time_point valid_until;
     };
-    std::map<std::string, verdict> by_worker;
+    std::map<worker_number, verdict> by_worker;
     std::uint64_t call = 0; ///< In flight; 0: none.
     time_point ask_again_at;
 };
--- a/src/cell_journal.cpp
+++ b/src/cell_journal.cpp
@@ -46,7 +46,8 @@
 
 cell_journal::cell_journal(owner_row owner, std::uint64_t version,
                            time_point claim_sent)
-    : owner_(std::move(owner)), version_(version), confirmed_at_(claim_sent)
+    : owner_(std::move(owner)), version_(version),
+      answer_time_(config::cell_commit_answer_first), confirmed_at_(claim_sent)
 {
 }
 
@@ -97,9 +98,13 @@
 
 std::optional<store_commit> cell_journal::next(time_point now, op_id op)
 {
-    if (in_flight_ || released_ || now < next_commit_)
+    if (released_)
         return std::nullopt;
-    // A commit whose answer was lost is sent again as it was, row for row.
+    if (in_flight_.empty() ? now < next_commit_
+                           : now < resend_at_ || in_flight_.size() >=
+                                                     config::cell_commit_copies)
+        return std::nullopt;
+    // A commit whose answer is overdue is sent again as it was, row for row.
     if (!unsettled_)
     {
         if (queue_.empty() && !release_wanted_ &&
@@ -126,14 +131,37 @@
         {cell_table::owner, owner_key, version_, to_text(owner_)});
     for (const auto& each : batch_)
         commit.writes.push_back(each.write);
-    in_flight_ = true;
-    op_ = op;
+    in_flight_.push_back(op);
+    resend_at_ = overdue_at(now);
     next_commit_ = now + config::cell_commit_gap;
     return commit;
 }
 
+time_point cell_journal::overdue_at(time_point now) const
+{
+    const auto wait =
+        answer_time_ * config::cell_commit_overdue_factor *
+        (std::int64_t{1} << (in_flight_.empty() ? 0 : in_flight_.size() - 1));
+    return now + std::clamp<duration>(wait, config::cell_commit_overdue_least,
+                                      config::cell_store_timeout);
+}
+
+void cell_journal::note_answer_time(duration time)
+{
+    // The usual smoothing of round trip times (RFC 6298).
+    constexpr int weight = 8;
+    answer_time_ += (time - answer_time_) / weight;
+}
+
+bool cell_journal::is_failing(time_point now) const
+{
+    return unsettled_ && now >= first_sent_ + config::cell_commit_patience;
+}
+
 void cell_journal::succeed(time_point now, std::uint64_t version)
 {
+    note_answer_time(now - first_sent_);
+    in_flight_.clear();
     version_ = version;
     failures_ = 0;
     unsettled_ = false;
@@ -149,7 +177,8 @@
 cell_journal::verdict cell_journal::on_result(time_point now,
                                               const store_result& result)
 {
-    in_flight_ = false;
+    in_flight_.erase(
+        std::find(in_flight_.begin(), in_flight_.end(), result.op));
     if (result.status == store_status::ok && !result.versions.empty())
     {
         succeed(now, result.versions.front());
@@ -170,6 +199,8 @@
         }
         return verdict::deposed;
     }
+    if (!in_flight_.empty())
+        return verdict::failing;
     ++failures_;
     next_commit_ =
         now + std::min<duration>(config::cell_commit_retry * failures_,
--- a/src/cell_journal_p.hpp
+++ b/src/cell_journal_p.hpp
@@ -1,6 +1,7 @@
 /// Writes of the owner to the store: grouped, in order, fenced by its row.
 #pragma once
 
+#include <algorithm>
 #include <carobcourse/types.hpp>
 #include <cstdint>
 #include <deque>
@@ -51,9 +52,9 @@
 std::string to_text(const owner_row& owner);
 std::optional<owner_row> owner_row_from(const std::string& text);
 
-/// Groups writes into commits, one in flight at a time. A commit whose reply
-/// is lost is sent again as it was: the owner's row tells whether it took
-/// effect. Used by the core thread only.
+/// Groups writes into commits, one after the other. A commit whose answer is
+/// overdue is sent again as it was: at most one copy takes effect, and the
+/// owner's row tells whether one has. Used by the core thread only.
 class cell_journal
 {
 public:
@@ -82,11 +83,13 @@
 
     /// Returns the next commit when one is due.
     std::optional<store_commit> next(time_point now, op_id op);
-    /// Takes the answer to the commit in flight; runs continuations.
+    /// Takes the answer to a copy of the commit; runs continuations.
+    /// Precondition: `expects(result.op)`.
     verdict on_result(time_point now, const store_result& result);
     bool expects(const op_id& op) const
     {
-        return in_flight_ && op == op_;
+        return std::find(in_flight_.begin(), in_flight_.end(), op) !=
+               in_flight_.end();
     }
     /// Gives the row up with the next commit.
     void release()
@@ -102,10 +105,7 @@
         return owner_;
     }
     /// True while the store does not take the owner's commits.
-    bool is_failing() const
-    {
-        return failures_ > 0;
-    }
+    bool is_failing(time_point now) const;
     time_point last_written() const
     {
         return last_written_;
@@ -125,15 +125,19 @@
     using row_name = std::pair<std::string, std::string>;
 
     void succeed(time_point now, std::uint64_t version);
+    void note_answer_time(duration time);
+    /// When a copy that was sent `now` is overdue.
+    time_point overdue_at(time_point now) const;
 
     owner_row owner_;
     std::uint64_t version_;
     std::deque<item> queue_;
-    std::vector<item> batch_; ///< Of the unsettled commit.
-    bool in_flight_ = false;
-    bool unsettled_ = false; ///< Sent, and its effect is not known.
+    std::vector<item> batch_;      ///< Of the unsettled commit.
+    std::vector<op_id> in_flight_; ///< Copies of the commit without an answer.
+    bool unsettled_ = false;       ///< Sent, and its effect is not known.
     bool release_wanted_ = false;
-    op_id op_;
+    time_point resend_at_;
+    duration answer_time_; ///< Smoothed time from a commit to its answer.
     time_point next_commit_;
     time_point last_written_;
     time_point first_sent_; ///< Of the batch.
--- a/src/cell_limits_p.hpp
+++ b/src/cell_limits_p.hpp
@@ -13,6 +13,17 @@
 /// Distance of two commits: groups writes, and bounds the priced calls.
 constexpr auto cell_commit_gap = 12ms;
 constexpr auto cell_commit_retry = 100ms;
+/// Answer time expected before the first answer; the service takes 4 ms.
+constexpr auto cell_commit_answer_first = 20ms;
+/// A commit is sent again after so many times its usual answer time...
+constexpr int cell_commit_overdue_factor = 4;
+/// ...and this at least, which covers pauses of a small processor share.
+constexpr auto cell_commit_overdue_least = 60ms;
+/// Copies of a commit without an answer at one time.
+constexpr std::size_t cell_commit_copies = 3;
+/// A commit without effect for so long means that the store fails; twice the
+/// answer time of a slow one.
+constexpr auto cell_commit_patience = 500ms;
 constexpr auto cell_commit_retry_most = 500ms;
 /// An idle owner rewrites its row this often, so that others see it alive.
 constexpr auto cell_beat_period = 250ms;
@@ -67,6 +78,8 @@
 constexpr auto cell_hold_wait_idle = 1000ms;
 constexpr auto cell_hold_timeout = 300ms;
 constexpr auto cell_hold_retry = 100ms;
+/// All workers are looked at this often, those with news at once.
+constexpr auto cell_worker_look_gap = 20ms;
 /// Wait for a commit before a worker with unacknowledged ends is asked again.
 constexpr auto cell_ack_patience = 400ms;
 constexpr auto cell_stop_retry = 500ms;
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -74,17 +74,8 @@
 {
     if (journal_.expects(result.op))
     {
-        const bool was_failing = journal_.is_failing();
-        const auto verdict = journal_.on_result(now, result);
-        if (verdict == cell_journal::verdict::deposed)
+        if (journal_.on_result(now, result) == cell_journal::verdict::deposed)
             deposed_ = true;
-        else if (verdict == cell_journal::verdict::failing && !was_failing)
-        {
-            context_.log(log_code::store_down, "commits of the owner");
-            refuse_queued(now);
-        }
-        else if (verdict == cell_journal::verdict::written && was_failing)
-            context_.log(log_code::store_up, "commits of the owner");
         dispatch_due_ = true;
         return true;
     }
@@ -325,7 +316,7 @@
     input.late_end = job->late_end;
     input.chain_ms = job->chain_ms();
     input.excess = job->excess;
-    input.store_failing = journal_.is_failing();
+    input.store_failing = store_failing_;
     input.jobs = jobs_.size();
     input.wait_ms =
         expected_wait_ms(backlogs_before(now, *job), customer, usable_cores());
@@ -547,6 +538,7 @@
                     return;
                 at->ends_durable = std::max(at->ends_durable, seen);
                 at->next_hold = {};
+                attention_.insert(id);
             });
     }
 }
@@ -616,15 +608,29 @@
     }
 }
 
+/// Learns whether the store takes commits; refuses what waits for one in vain.
+void cell_owner::follow_store(time_point now)
+{
+    const bool failing = journal_.is_failing(now);
+    if (failing == store_failing_)
+        return;
+    store_failing_ = failing;
+    context_.log(failing ? log_code::store_down : log_code::store_up,
+                 "commits of the owner");
+    if (failing)
+        refuse_queued(now);
+}
+
 void cell_owner::finish_batch(time_point now)
 {
     if (deposed_ || journal_.is_released())
         return;
+    follow_store(now);
     if (loaded_)
     {
         watch_workers(now);
         resolve_unclear(now);
-        if (dispatch_due_ && context_.config)
+        if (dispatch_due_ && context_.config && now >= next_dispatch_)
         {
             dispatch_due_ = false;
             dispatch(now);
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -20,13 +20,29 @@
 constexpr std::size_t most_named_cheap = 16;
 constexpr std::size_t most_named = 30;
 constexpr std::size_t most_named_gang = 48;
+/// A round of dispatch takes time for each waiting step and worker. Beyond so
+/// many of them, rounds keep a distance that grows by this much for each, so
+/// that a long queue and a large cell leave time for events.
+constexpr int dispatch_free_items = 100;
+constexpr auto dispatch_item_gap = std::chrono::microseconds(15);
 constexpr auto ask_again = std::chrono::milliseconds(30);
 constexpr auto ask_again_gang = std::chrono::milliseconds(150);
-/// A gang keeps its reserved workers for so long before it chooses again.
-constexpr auto reservation_time = std::chrono::seconds(15);
+/// A gang keeps its reserved workers for so long before it chooses again: long
+/// enough for a call for advice.
+constexpr auto reservation_time = std::chrono::seconds(1);
 /// Part of all workers that gangs may reserve, in percent.
 constexpr std::size_t reserved_percent = 50;
 
+bool suits(const cell_worker& worker, const std::string& service,
+           const step_spec& step)
+{
+    const auto& report = worker.report();
+    return report.service == service &&
+           (step.label.empty() ||
+            std::find(report.labels.begin(), report.labels.end(), step.label) !=
+                report.labels.end());
+}
+
 } // namespace
 
 std::vector<cell_owner::ready_step> cell_owner::ready_steps(time_point now)
@@ -74,6 +90,10 @@
     if (lease_left(now) < duration(config::cell_start_timeout))
         return;
     auto ready = ready_steps(now);
+    find_open_workers(now);
+    const auto items = static_cast<int>(ready.size() + open_.all.size());
+    next_dispatch_ =
+        now + dispatch_item_gap * std::max(0, items - dispatch_free_items);
     for (auto at = reservations_.begin(); at != reservations_.end();)
     {
         const bool waits = std::any_of(ready.begin(), ready.end(),
@@ -91,21 +111,32 @@
     }
 }
 
-bool cell_owner::is_usable(time_point now, const cell_worker& worker,
-                           const std::string& service,
-                           const step_spec& step) const
+void cell_owner::find_open_workers(time_point now)
 {
-    const auto& report = worker.report();
-    return worker.held && worker.reachable && worker.listed &&
-           !report.draining && report.service == service &&
-           now >= worker.avoid_until && !worker.has_unknown_run() &&
-           context_.data_centres_out.count(report.data_centre) == 0 &&
-           (step.label.empty() ||
-            std::find(report.labels.begin(), report.labels.end(), step.label) !=
-                report.labels.end());
+    open_.all.clear();
+    open_.by_number.clear();
+    open_.largest_room = {};
+    for (const auto& [id, worker] : workers_.all())
+    {
+        const auto& report = worker.report();
+        if (!worker.held || !worker.reachable || !worker.listed ||
+            report.draining || now < worker.avoid_until ||
+            worker.has_unknown_run() ||
+            context_.data_centres_out.count(report.data_centre) > 0)
+            continue;
+        open_.all.push_back(&worker);
+        if (worker.number() >= open_.by_number.size())
+            open_.by_number.resize(worker.number() + 1);
+        open_.by_number[worker.number()] = &worker;
+        const auto room = worker.room();
+        auto& largest = open_.largest_room;
+        largest = {std::max(largest.cpu_millis, room.cpu_millis),
+                   std::max(largest.memory_mb, room.memory_mb),
+                   std::max(largest.accelerators, room.accelerators)};
+    }
 }
 
-bool cell_owner::is_reserved(const std::string& worker, std::uint64_t key) const
+bool cell_owner::is_reserved(worker_number worker, std::uint64_t key) const
 {
     return std::any_of(reservations_.begin(), reservations_.end(),
                        [&](const auto& each) {
@@ -120,31 +151,30 @@
 {
     const auto& step = ready.job->spec().steps[ready.step];
     std::vector<placement_candidate> result;
-    const bool urgent = ready.queue->priority == 0 && !step.gang;
+    const bool urgent = ready.queue->priority == 0 && !ready.job->excess;
     const auto add = [&](const cell_worker& worker, const std::string& ticket)
     {
-        if (!is_usable(now, worker, ready.queue->service, step))
+        if (!suits(worker, ready.queue->service, step))
             return;
-        const bool reserved = is_reserved(worker.report().id, ready.key);
+        const bool reserved = is_reserved(worker.number(), ready.key);
         if (reserved && !urgent)
             return;
         result.push_back({&worker, ticket, reserved});
     };
     if (!ready.queue->advice)
     {
-        for (const auto& [id, worker] : workers_.all())
-            add(worker, {});
+        for (const auto* worker : open_.all)
+            add(*worker, {});
         return result;
     }
     const auto* run = ready.job->find_step(ready.occurrence, ready.step);
-    for (const auto& [id, verdict] : run->advice.by_worker)
+    for (const auto& [number, verdict] : run->advice.by_worker)
     {
-        if (!verdict.good ||
+        if (!verdict.good || number >= open_.by_number.size() ||
+            !open_.by_number[number] ||
             (with_ticket && now + ticket_margin >= verdict.valid_until))
             continue;
-        const auto found = workers_.all().find(id);
-        if (found != workers_.all().end())
-            add(found->second, verdict.ticket);
+        add(*open_.by_number[number], verdict.ticket);
     }
     return result;
 }
@@ -182,6 +212,7 @@
     entry.customer = job.customer();
     entry.step_key = ready.key;
     entry.start_checkpoint = task.checkpoint;
+    entry.expected_end = now + std::chrono::milliseconds(spec.estimate_ms);
     workers_.add_run(at, {id, run}, std::move(entry));
     if (!job.has_started())
     {
@@ -236,6 +267,8 @@
 void cell_owner::place_tasks(time_point now, ready_step& ready)
 {
     const auto& spec = ready.job->spec().steps[ready.step];
+    if (tasks_that_fit(open_.largest_room, spec, 0) == 0)
+        return;
     auto* step = ready.job->find_step(ready.occurrence, ready.step);
     if (ready.job->durable)
     {
@@ -307,17 +340,56 @@
     const auto fresh = plan_gang(candidates(now, ready, false), spec, count);
     if (!fresh.empty())
     {
+        // The room is kept until the tickets arrive.
         std::vector<std::string> names;
         names.reserve(fresh.size());
+        reservation kept;
+        kept.until = now + reservation_time;
         for (const auto& share : fresh)
+        {
             names.push_back(share.worker->report().id);
+            kept.workers.insert(share.worker->number());
+        }
         ask_advice(now, ready, std::move(names));
+        if (step->advice.call != 0)
+            reservations_[ready.key] = std::move(kept);
         return;
     }
-    ask_advice(now, ready, workers_to_ask(now, ready));
+    auto names = workers_to_ask(now, ready);
+    if (names.empty())
+        names = tickets_to_renew(now, ready);
+    ask_advice(now, ready, std::move(names));
     reserve(now, ready);
 }
 
+/// Workers kept for a waiting gang whose tickets would be over when the room
+/// is there.
+std::vector<std::string>
+cell_owner::tickets_to_renew(time_point now, const ready_step& ready) const
+{
+    const auto kept = reservations_.find(ready.key);
+    if (kept == reservations_.end())
+        return {};
+    const auto& advice =
+        ready.job->find_step(ready.occurrence, ready.step)->advice;
+    const auto call = std::chrono::milliseconds(static_cast<std::int64_t>(
+        advice_ms(*ready.queue->advice, kept->second.workers.size())));
+    std::vector<std::string> names;
+    bool is_due = false;
+    for (const auto number : kept->second.workers)
+    {
+        const auto verdict = advice.by_worker.find(number);
+        if (number >= open_.by_number.size() || !open_.by_number[number] ||
+            verdict == advice.by_worker.end())
+            continue;
+        names.push_back(open_.by_number[number]->report().id);
+        is_due = is_due || now + call >= verdict->second.valid_until;
+    }
+    if (!is_due || now < advice.ask_again_at)
+        names.clear();
+    return names;
+}
+
 /// Keeps workers free for a gang that does not fit now, so that small tasks
 /// do not take each gap before all members have room.
 void cell_owner::reserve(time_point now, const ready_step& ready)
@@ -325,40 +397,24 @@
     if (reservations_.count(ready.key) || !ready.job->durable)
         return;
     const auto& spec = ready.job->spec().steps[ready.step];
-    std::set<std::string> taken;
+    std::set<worker_number> taken;
     for (const auto& [key, each] : reservations_)
         taken.insert(each.workers.begin(), each.workers.end());
     const auto most = workers_.all().size() * reserved_percent / 100;
-    auto usable = candidates(now, ready, false);
-    std::sort(
-        usable.begin(), usable.end(),
-        [&spec](const placement_candidate& a, const placement_candidate& b)
-        {
-            const auto fits = [&spec](const placement_candidate& each)
-            { return tasks_that_fit(each.worker->room(), spec, 0); };
-            const auto room = [](const placement_candidate& each)
-            { return each.worker->room().cpu_millis; };
-            return std::make_pair(fits(a), room(a)) >
-                   std::make_pair(fits(b), room(b));
-        });
-    std::uint32_t left = spec.count;
+    const auto usable = candidates(now, ready, false);
     reservation next;
     next.until = now + reservation_time;
-    for (const auto& each : usable)
-    {
-        const auto& report = each.worker->report();
-        const auto fits = tasks_that_fit(report.capacity, spec, 0);
-        if (fits == 0)
-            continue;
-        if (taken.size() + next.workers.size() >= most)
-            return;
-        next.workers.insert(report.id);
-        left -= std::min(left, fits);
-        if (left == 0)
-            break;
-    }
-    if (left == 0)
-        reservations_.emplace(ready.key, std::move(next));
+    for (const auto* worker : soonest_room(usable, spec, spec.count, now))
+        next.workers.insert(worker->number());
+    if (next.workers.empty() || taken.size() + next.workers.size() > most)
+        return;
+    context_.log(log_code::cell_gang_waits,
+                 fmt::format("job={} step={} tasks={} kept={} allowed={} "
+                             "kept_for_others={} epoch={}",
+                             ready.job->id(), ready.step, spec.count,
+                             next.workers.size(), usable.size(), taken.size(),
+                             row().epoch));
+    reservations_.emplace(ready.key, std::move(next));
 }
 
 // -------------------------------------------------------------------- advice
@@ -369,9 +425,10 @@
     const auto& spec = ready.job->spec().steps[ready.step];
     auto* step = ready.job->find_step(ready.occurrence, ready.step);
     std::vector<std::string> result;
-    if (step->advice.call != 0 || now < step->advice.ask_again_at)
+    if (step->advice.call != 0 || now < step->advice.ask_again_at ||
+        !lanes_.is_free(now, advice_ms(*ready.queue->advice, 1)))
         return result;
-    const bool urgent = ready.queue->priority == 0 && !spec.gang;
+    const bool urgent = ready.queue->priority == 0 && !ready.job->excess;
     struct option
     {
         const cell_worker* worker;
@@ -382,11 +439,12 @@
     std::vector<option> known;
     std::vector<option> unknown;
     std::uint32_t known_fits = 0;
-    for (const auto& [id, worker] : workers_.all())
+    for (const auto* open : open_.all)
     {
-        if (!is_usable(now, worker, ready.queue->service, spec))
+        const auto& worker = *open;
+        if (!suits(worker, ready.queue->service, spec))
             continue;
-        const bool reserved = is_reserved(id, ready.key);
+        const bool reserved = is_reserved(worker.number(), ready.key);
         if (reserved && !urgent && !spec.gang)
             continue;
         const auto& room = spec.gang ? worker.report().capacity : worker.room();
@@ -394,7 +452,7 @@
             tasks_that_fit(room, spec, worker.runs_of_step(ready.key));
         if (fits == 0)
             continue;
-        const auto verdict = step->advice.by_worker.find(id);
+        const auto verdict = step->advice.by_worker.find(worker.number());
         const option each{&worker, fits, reserved, context_.random()};
         if (verdict == step->advice.by_worker.end())
             unknown.push_back(each);
@@ -494,13 +552,15 @@
     if (!queue || !queue->advice)
         return;
     for (const auto& id : pending.asked)
-        step->advice.by_worker[id].good = false;
+        if (const auto* worker = workers_.find(id))
+            step->advice.by_worker[worker->number()].good = false;
     const auto valid_until =
         now + std::chrono::milliseconds(queue->advice->valid_ms) -
         ticket_travel;
     for (const auto& ticket : answer.tickets)
-        step->advice.by_worker[ticket.worker] = {true, ticket.ticket,
-                                                 valid_until};
+        if (const auto* worker = workers_.find(ticket.worker))
+            step->advice.by_worker[worker->number()] = {true, ticket.ticket,
+                                                        valid_until};
 }
 
 } // namespace carobcourse
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -90,7 +90,7 @@
     }
     bool is_store_failing() const
     {
-        return journal_.is_failing();
+        return store_failing_;
     }
     time_point last_written() const
     {
@@ -154,9 +154,16 @@
     };
     struct reservation
     {
-        std::set<std::string> workers;
+        std::set<worker_number> workers;
         time_point until;
     };
+    /// Workers that may take new work in one round of dispatch.
+    struct open_workers
+    {
+        std::vector<const cell_worker*> all;
+        std::vector<const cell_worker*> by_number; ///< Null: takes none.
+        resources largest_room; ///< In each dimension, at the round's start.
+    };
     /// A step that has tasks to start.
     struct ready_step
     {
@@ -199,6 +206,7 @@
                 result_code code, std::int64_t retry_after_ms);
     void accept(time_point now, const std::string& id);
     void refuse_queued(time_point now);
+    void follow_store(time_point now);
     void write_dirty(time_point now);
     void finalize(time_point now, cell_job& job);
     void on_final(time_point now, const std::string& id, job_phase phase);
@@ -223,6 +231,7 @@
     /// False when another host may own the cell by now.
     bool is_confirmed(time_point now) const;
     void hold_due(time_point now);
+    bool look_after(time_point now, cell_worker& worker);
     void hold(time_point now, cell_worker& worker);
     void send_stops(time_point now, cell_worker& worker);
     void on_hold(time_point now, cell_worker& worker,
@@ -250,19 +259,20 @@
     // Placement (cell_owner_dispatch.cpp).
     void dispatch(time_point now);
     std::vector<ready_step> ready_steps(time_point now);
-    bool is_usable(time_point now, const cell_worker& worker,
-                   const std::string& service, const step_spec& step) const;
+    void find_open_workers(time_point now);
     std::vector<placement_candidate>
     candidates(time_point now, const ready_step& ready, bool with_ticket) const;
     void place_tasks(time_point now, ready_step& ready);
     void place_gang(time_point now, ready_step& ready);
     void reserve(time_point now, const ready_step& ready);
-    bool is_reserved(const std::string& worker, std::uint64_t key) const;
+    bool is_reserved(worker_number worker, std::uint64_t key) const;
     bool within_cap(const cell_job& job, const resources& more) const;
     void ask_advice(time_point now, const ready_step& ready,
                     std::vector<std::string> workers);
     std::vector<std::string> workers_to_ask(time_point now,
                                             const ready_step& ready);
+    std::vector<std::string> tickets_to_renew(time_point now,
+                                              const ready_step& ready) const;
     void on_advice(time_point now, const pending_call& pending,
                    const worker_answer& answer);
     void start_task(time_point now, const ready_step& ready,
@@ -292,7 +302,9 @@
     std::map<std::string, std::vector<reply_address>> submitters_;
     std::map<reply_address, refused_call> refused_;
     std::set<std::string> dirty_;
-    std::set<std::string> acks_due_; ///< Workers with ends to acknowledge.
+    std::set<std::string> acks_due_;  ///< Workers with ends to acknowledge.
+    std::set<std::string> attention_; ///< Workers with something new.
+    time_point next_look_;            ///< At all workers.
     std::map<std::string, std::uint64_t> waiting_;
     customer_rates rates_;
     std::uint64_t arrivals_ = 0;
@@ -306,13 +318,16 @@
     time_point next_worker_watch_;
     std::set<std::string> leased_;     ///< As recorded.
     std::set<std::string> unresolved_; ///< May run tasks of earlier owners.
-    bool has_unclear_ = true;          ///< Tasks wait for the workers above.
+    bool store_failing_ = false;
+    bool has_unclear_ = true; ///< Tasks wait for the workers above.
     std::map<std::uint64_t, pending_call> calls_;
     std::vector<cell_agent> agents_;
 
     advice_lanes lanes_;
     std::map<std::uint64_t, reservation> reservations_;
+    open_workers open_;
     bool dispatch_due_ = false;
+    time_point next_dispatch_;
 };
 
 } // namespace carobcourse
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -103,6 +103,7 @@
         worker = &workers_.add(std::move(*report));
         worker->first_seen = now;
         worker->next_hold = now;
+        attention_.insert(key);
         const auto& about = worker->report();
         context_.log(log_code::cell_worker_listed,
                      fmt::format("worker={} data_centre={} rack={} cpu={} "
@@ -191,6 +192,7 @@
     auto* worker = workers_.find(pending.worker);
     if (!worker)
         return;
+    attention_.insert(pending.worker);
     if (answer.clock_ms >= 0 &&
         answer.status != order_status::other_incarnation)
         worker->note_clock(now, answer.clock_ms);
@@ -237,31 +239,19 @@
 void cell_owner::hold_due(time_point now)
 {
     std::vector<std::string> gone;
-    for (auto& [id, worker] : workers_.all())
+    if (now >= next_look_)
     {
-        send_stops(now, worker);
-        if (worker.hold_call != 0)
-            continue;
-        // Another host that has taken the cell over may have heard of ends
-        // that this one can not see.
-        if (!worker.reachable && now >= worker.lease_over() &&
-            is_confirmed(now))
-        {
-            if (!worker.runs().empty())
-                lose_runs(now, worker, "lease_over");
-            if (unresolved_.erase(id) > 0)
-                dispatch_due_ = true;
-            if (!worker.listed)
-            {
+        next_look_ = now + config::cell_worker_look_gap;
+        attention_.clear();
+        for (auto& [id, worker] : workers_.all())
+            if (look_after(now, worker))
                 gone.push_back(id);
-                continue;
-            }
-        }
-        if (worker.ends_seen > worker.ends_durable &&
-            now < worker.hold_sent + config::cell_ack_patience)
-            continue;
-        if (now >= worker.next_hold)
-            hold(now, worker);
+    }
+    for (const auto& id : std::exchange(attention_, {}))
+    {
+        auto* worker = workers_.find(id);
+        if (worker && look_after(now, *worker))
+            gone.push_back(id);
     }
     for (const auto& id : gone)
     {
@@ -273,6 +263,32 @@
         record_leases();
 }
 
+/// Sends what is due to a worker. Returns true when it is gone for good.
+bool cell_owner::look_after(time_point now, cell_worker& worker)
+{
+    const auto& id = worker.report().id;
+    send_stops(now, worker);
+    if (worker.hold_call != 0)
+        return false;
+    // Another host that has taken the cell over may have heard of ends that
+    // this one can not see.
+    if (!worker.reachable && now >= worker.lease_over() && is_confirmed(now))
+    {
+        if (!worker.runs().empty())
+            lose_runs(now, worker, "lease_over");
+        if (unresolved_.erase(id) > 0)
+            dispatch_due_ = true;
+        if (!worker.listed)
+            return true;
+    }
+    if (worker.ends_seen > worker.ends_durable &&
+        now < worker.hold_sent + config::cell_ack_patience)
+        return false;
+    if (now >= worker.next_hold)
+        hold(now, worker);
+    return false;
+}
+
 void cell_owner::hold(time_point now, cell_worker& worker)
 {
     worker_call call;
@@ -428,6 +444,7 @@
         run.amount = spec.amount;
         run.fills = spec.fills;
         run.customer = job->customer();
+        run.expected_end = now + std::chrono::milliseconds(spec.estimate_ms);
     }
     run.amount_unknown = !task;
     const bool wanted = task && task->state == cell_task_state::unclear &&
@@ -568,6 +585,8 @@
         return;
     run->stop_wanted = true;
     run->next_stop = now;
+    ++worker.stops_wanted;
+    attention_.insert(worker.report().id);
 }
 
 void cell_owner::stop_job_runs(time_point now, const std::string& job)
@@ -708,13 +727,15 @@
                 : found->second->find_step(pending.key.first.occurrence,
                                            pending.key.first.step);
         if (step)
-            step->advice.by_worker[pending.worker].valid_until = {};
+            step->advice.by_worker[worker.number()].valid_until = {};
     }
     drop_run(now, worker, pending.key);
 }
 
 void cell_owner::send_stops(time_point now, cell_worker& worker)
 {
+    if (worker.stops_wanted == 0)
+        return;
     for (const auto& [key, seen] : worker.runs())
     {
         if (!seen.stop_wanted || seen.stop_call != 0 || now < seen.next_stop ||
--- a/src/cell_placement.cpp
+++ b/src/cell_placement.cpp
@@ -1,6 +1,7 @@
 #include "cell_placement_p.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <tuple>
@@ -11,6 +12,9 @@
 namespace
 {
 
+/// Time that a run is expected to go on for when its estimate is over.
+constexpr auto overdue_run = std::chrono::milliseconds(300);
+
 /// What stays free of the scarcer of processors and memory, in thousandths.
 std::int64_t left_over(const cell_worker& worker, const step_spec& step)
 {
@@ -97,6 +101,20 @@
 plan_gang(const std::vector<placement_candidate>& candidates,
           const step_spec& step, std::uint32_t count)
 {
+    const auto open = std::count_if(candidates.begin(), candidates.end(),
+                                    [](const placement_candidate& each)
+                                    { return !each.reserved; });
+    if (static_cast<std::size_t>(open) < candidates.size())
+    {
+        std::vector<placement_candidate> unreserved;
+        std::copy_if(candidates.begin(), candidates.end(),
+                     std::back_inserter(unreserved),
+                     [](const placement_candidate& each)
+                     { return !each.reserved; });
+        auto plan = plan_gang(unreserved, step, count);
+        if (!plan.empty())
+            return plan;
+    }
     std::vector<gang_share> rooms;
     std::map<std::string, std::vector<gang_share>> by_rack;
     for (const auto& each : candidates)
@@ -123,4 +141,48 @@
     return fill(std::move(rooms), count);
 }
 
+std::vector<const cell_worker*>
+soonest_room(const std::vector<placement_candidate>& candidates,
+             const step_spec& step, std::uint32_t count, time_point now)
+{
+    struct slot
+    {
+        time_point at;
+        const cell_worker* worker;
+    };
+    std::vector<slot> slots;
+    for (const auto& each : candidates)
+    {
+        const auto& worker = *each.worker;
+        std::vector<std::pair<time_point, resources>> ends;
+        for (const auto& [key, run] : worker.runs())
+            ends.emplace_back(std::max(now + overdue_run, run.expected_end),
+                              room_taken(run));
+        std::sort(ends.begin(), ends.end(),
+                  [](const auto& a, const auto& b)
+                  { return a.first < b.first; });
+        auto room = worker.room();
+        std::uint32_t fits = tasks_that_fit(room, step, 0);
+        slots.insert(slots.end(), fits, {now, &worker});
+        for (const auto& [at, amount] : ends)
+        {
+            room += amount;
+            const auto then = tasks_that_fit(room, step, 0);
+            if (then > fits)
+                slots.insert(slots.end(), then - fits, {at, &worker});
+            fits = std::max(fits, then);
+        }
+    }
+    if (slots.size() < count)
+        return {};
+    std::stable_sort(slots.begin(), slots.end(),
+                     [](const slot& a, const slot& b) { return a.at < b.at; });
+    std::vector<const cell_worker*> chosen;
+    for (std::uint32_t i = 0; i < count; ++i)
+        if (std::find(chosen.begin(), chosen.end(), slots[i].worker) ==
+            chosen.end())
+            chosen.push_back(slots[i].worker);
+    return chosen;
+}
+
 } // namespace carobcourse
--- a/src/cell_placement_p.hpp
+++ b/src/cell_placement_p.hpp
@@ -41,9 +41,19 @@
               const step_spec& step, std::uint64_t step_key);
 
 /// Workers for all `count` tasks of a gang, empty when they do not fit at
-/// once. Prefers one rack where the step asks for it, and few workers.
+/// once. Prefers workers that are not reserved, one rack where the step asks
+/// for it, and few workers.
 std::vector<gang_share>
 plan_gang(const std::vector<placement_candidate>& candidates,
           const step_spec& step, std::uint32_t count);
 
+/// Workers on which `count` tasks of a gang have room soonest, by the expected
+/// ends of what runs there; empty when they do not fit on all candidates.
+///
+/// Answers a cell whose allowed workers are all partly used: waiting for few
+/// workers to be empty takes as long as the longest task on them.
+std::vector<const cell_worker*>
+soonest_room(const std::vector<placement_candidate>& candidates,
+             const step_spec& step, std::uint32_t count, time_point now);
+
 } // namespace carobcourse
--- a/src/cell_types_p.hpp
+++ b/src/cell_types_p.hpp
@@ -14,6 +14,9 @@
 namespace carobcourse
 {
 
+/// An incarnation of a worker, as its owner counts them.
+using worker_number = std::uint32_t;
+
 /// One step of a job: tasks of the same shape.
 struct step_spec
 {
--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -10,9 +10,6 @@
 namespace carobcourse
 {
 
-namespace
-{
-
 resources room_taken(const cell_run& run)
 {
     auto amount = run.amount;
@@ -21,8 +18,6 @@
     return amount;
 }
 
-} // namespace
-
 cell_run* cell_worker::find(const run_key& key)
 {
     const auto found = runs_.find(key);
@@ -35,13 +30,6 @@
     return found == by_step_.end() ? 0 : found->second;
 }
 
-bool cell_worker::has_unknown_run() const
-{
-    return std::any_of(runs_.begin(), runs_.end(),
-                       [](const auto& each)
-                       { return each.second.amount_unknown; });
-}
-
 void cell_worker::note_clock(time_point now, std::int64_t clock_ms)
 {
     // Answers overtake each other; an older reading would only be less exact.
@@ -80,7 +68,8 @@
 cell_worker& cell_workers::add(worker_report report)
 {
     const auto id = report.id;
-    return workers_.emplace(id, cell_worker(std::move(report))).first->second;
+    return workers_.emplace(id, cell_worker(std::move(report), next_number_++))
+        .first->second;
 }
 
 void cell_workers::remove(const std::string& id)
@@ -94,6 +83,8 @@
     worker.used_ += room_taken(run);
     usage_[run.customer] += run.amount;
     ++worker.by_step_[run.step_key];
+    worker.unknown_runs_ += run.amount_unknown ? 1 : 0;
+    worker.stops_wanted += run.stop_wanted ? 1 : 0;
     worker.runs_.emplace(key, std::move(run));
 }
 
@@ -105,6 +96,8 @@
     const auto& run = found->second;
     worker.used_ -= room_taken(run);
     usage_[run.customer] -= run.amount;
+    worker.unknown_runs_ -= run.amount_unknown ? 1 : 0;
+    worker.stops_wanted -= run.stop_wanted ? 1 : 0;
     if (--worker.by_step_[run.step_key] == 0)
         worker.by_step_.erase(run.step_key);
     worker.runs_.erase(found);
--- a/src/cell_workers_p.hpp
+++ b/src/cell_workers_p.hpp
@@ -34,6 +34,7 @@
     run_state state = run_state::ordered;
     std::int64_t start_until_ms = 0; ///< Worker's clock: refused later.
     time_point seen_at;              ///< Confirmed by the worker.
+    time_point expected_end;         ///< By the estimate of its job.
     bool stop_wanted = false;
     time_point next_stop;
     std::uint64_t stop_call = 0;
@@ -42,13 +43,25 @@
     std::uint64_t step_key = 0;   ///< Counts runs of one step on the worker.
 };
 
+/// What the run takes of its worker's room.
+resources room_taken(const cell_run& run);
+
 using run_key = std::pair<cell_task_id, std::uint32_t>;
 
 /// A worker by incarnation.
 class cell_worker
 {
 public:
-    explicit cell_worker(worker_report report) : report_(std::move(report)) {}
+    explicit cell_worker(worker_report report, worker_number number = 0)
+        : report_(std::move(report)), number_(number)
+    {
+    }
+
+    /// Small handle of this incarnation; not used again.
+    worker_number number() const
+    {
+        return number_;
+    }
 
     const worker_report& report() const
     {
@@ -73,7 +86,10 @@
     }
     std::uint32_t runs_of_step(std::uint64_t step_key) const;
     /// True while something runs there that may take any part of the room.
-    bool has_unknown_run() const;
+    bool has_unknown_run() const
+    {
+        return unknown_runs_ > 0;
+    }
 
     /// Notes the worker's clock as read from an answer that arrived `now`.
     void note_clock(time_point now, std::int64_t clock_ms);
@@ -106,6 +122,7 @@
     unsigned hold_failures = 0;
     time_point avoid_until;
     unsigned silent_starts = 0; ///< Without an answer, in a row.
+    unsigned stops_wanted = 0;  ///< Runs that are to be stopped.
     unsigned failures = 0;      ///< In a row.
     std::set<std::string> failed_jobs;
 
@@ -113,6 +130,8 @@
     friend class cell_workers;
 
     worker_report report_;
+    worker_number number_;
+    unsigned unknown_runs_ = 0;
     std::map<run_key, cell_run> runs_;
     std::map<std::uint64_t, std::uint32_t> by_step_;
     resources used_;
@@ -146,6 +165,7 @@
 
 private:
     std::map<std::string, cell_worker> workers_;
+    worker_number next_number_ = 0;
     std::map<std::string, resources> usage_;
 };
 
--- a/tests/test_cell_order.cpp
+++ b/tests/test_cell_order.cpp
@@ -188,3 +188,38 @@
     all.pop_back();
     CHECK(choose_worker(all, step, 1)->worker == &kept);
 }
+
+TEST_CASE("A gang waits where room comes soonest, not for few empty workers")
+{
+    cell_workers workers;
+    const auto add = [&workers](const std::string& id, std::int64_t long_cpu,
+                                std::int64_t short_cpu)
+    {
+        worker_report report;
+        report.id = id;
+        report.capacity = {32000, 64000, 0};
+        auto& at = workers.add(report);
+        cell_run run;
+        run.amount = {long_cpu, 100, 0};
+        run.expected_end = start + std::chrono::seconds(10);
+        workers.add_run(at, {{id, 0, 0, 0}, 1}, run);
+        run.amount = {short_cpu, 100, 0};
+        run.expected_end = start + std::chrono::seconds(1);
+        workers.add_run(at, {{id, 0, 0, 1}, 1}, run);
+        return &at;
+    };
+    // Each has room for one task in a second, for three in ten.
+    const auto* a = add("a", 20000, 10000);
+    const auto* b = add("b", 20000, 10000);
+    const auto* c = add("c", 20000, 10000);
+    step_spec gang;
+    gang.gang = true;
+    gang.count = 3;
+    gang.amount = {9000, 100, 0};
+    const std::vector<placement_candidate> all{{a, ""}, {b, ""}, {c, ""}};
+    CHECK(soonest_room(all, gang, 3, start).size() == 3);
+    gang.count = 9;
+    CHECK(soonest_room(all, gang, 9, start).size() == 3);
+    gang.count = 10;
+    CHECK(soonest_room(all, gang, 10, start).empty());
+}
--- /dev/null
+++ b/tests/test_cell_overload_gangs.cpp
@@ -0,0 +1,12 @@
+// Gangs beside a customer that sends many times its share.
+#include "loaded_cell.hpp"
+
+using namespace cell_test;
+
+TEST_CASE("A customer beyond its share does not delay gangs in a burst")
+{
+    // Bound: the objective of the milestone, 0.95 of what is owed.
+    loaded_cell cell(2);
+    cell.play_burst(5.3);
+    CHECK(cell.in_time(kinds[2]) >= 0.95);
+}
