Time commit answers by copy, answer every call of a stop, tell counts once they are known

(1) While the store is slow, copies of a commit queued up behind each other: answers took 240, 480, 720 ms, the commit looked without effect for 0.5 s, 4,030 submissions were refused, and the owner changed three times in four seconds. (4) 6 to 7 rows a job, 2 of them removals, against 400 rows a second of a slow store.

Answer times are known by copy, rise at once and fall slowly; each copy is waited for four times as long. Removals fill commits that have space. Calls get their last answer 0.4 s before the end of a stop; later ones are refused. Counts are told after they were made. Hosts with a larger processor share claim the cell sooner.

--- a/src/cell_front.cpp
+++ b/src/cell_front.cpp
@@ -102,9 +102,24 @@
     answer(std::move(out));
 }
 
+void cell_front::finish(time_point now)
+{
+    finishing_ = true;
+    for (auto& [id, call] : calls_)
+        give_up(now, id, call,
+                call.sent_to.empty() ? result_code::stopping
+                                     : result_code::outcome_unknown);
+    calls_.clear();
+}
+
 void cell_front::on_request(time_point now, const caller_request& request,
                             const sender& to_owner)
 {
+    if (finishing_)
+    {
+        refuse_here(now, request, result_code::stopping);
+        return;
+    }
     const auto retry = config::cell_retry_after.count();
     if (!context_.config)
     {
@@ -232,25 +247,29 @@
     }
     for (const auto& [id, code] : given_up)
     {
-        const auto& call = calls_[id];
-        context_.counters.count_refusal(code);
-        context_.log(
-            code == result_code::outcome_unknown ? log_code::cell_call_unknown
-                                                 : log_code::cell_call_refused,
-            fmt::format("job={} verb={} code={} sent_to={} age_ms={}",
-                        call.item.value("id", std::string()),
-                        kind_of(call.verb), to_string(code), call.sent_to,
-                        (now - call.taken_at).count() / 1000));
-        caller_answer out;
-        out.id = id;
-        out.code = code;
-        const bool elsewhere =
-            code == result_code::owner_unknown && !store_failing_;
-        out.retry_after_ms = elsewhere ? 0 : config::cell_retry_after.count();
-        out.closing = elsewhere;
-        answer(std::move(out));
+        give_up(now, id, calls_[id], code);
         calls_.erase(id);
     }
 }
 
+void cell_front::give_up(time_point now, call_id id, const pending_call& call,
+                         result_code code)
+{
+    const bool is_unknown = code == result_code::outcome_unknown;
+    context_.counters.count_refusal(code);
+    context_.log(is_unknown ? log_code::cell_call_unknown
+                            : log_code::cell_call_refused,
+                 fmt::format("job={} verb={} code={} sent_to={} age_ms={}",
+                             call.item.value("id", std::string()),
+                             kind_of(call.verb), to_string(code), call.sent_to,
+                             (now - call.taken_at).count() / 1000));
+    caller_answer out;
+    out.id = id;
+    out.code = code;
+    const bool elsewhere = !is_unknown && !store_failing_;
+    out.retry_after_ms = elsewhere ? 0 : config::cell_retry_after.count();
+    out.closing = elsewhere;
+    answer(std::move(out));
+}
+
 } // namespace carobcourse
--- a/src/cell_front_p.hpp
+++ b/src/cell_front_p.hpp
@@ -34,6 +34,9 @@
     /// The owner has changed or is reached again: its calls go out once more.
     /// All of them may be repeated: a job is known by its id.
     void resend(const sender& to_owner);
+    /// The process is about to end: answers all calls, and refuses each one
+    /// that comes from now on.
+    void finish(time_point now);
     void tick(time_point now, const sender& to_owner);
     /// Counts of waiting jobs as told by the owner.
     void set_waiting(time_point now,
@@ -73,6 +76,8 @@
         std::string sent_to; ///< Latest owner; it may have acted on it.
     };
 
+    void give_up(time_point now, call_id id, const pending_call& call,
+                 result_code code);
     static void send(pending_call& call, const sender& to_owner);
     void answer(caller_answer answer);
     void refuse(time_point now, const caller_request& request, result_code code,
@@ -93,6 +98,7 @@
     time_point config_confirmed_;
     bool store_failing_ = false;
     bool closing_ = false;
+    bool finishing_ = false;
 };
 
 } // namespace carobcourse
--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -16,25 +16,25 @@
 using json = nlohmann::json;
 
 constexpr char message_type[] = "cell";
-constexpr std::size_t member_page = 500;
-constexpr char secret_key[] = "secret";
-constexpr std::size_t secret_bytes = 32;
-/// A broken link is left out of the peers for so long, so that it is dialled
-/// anew.
-constexpr auto redial_pause = std::chrono::milliseconds(40);
 /// An owner whose commits fail for longer is taken over by a host that reaches
 /// the store.
 constexpr auto owner_store_patience = std::chrono::milliseconds(1200);
 /// Time in which callers learn that a host stops, before it closes.
 constexpr auto stop_notice = std::chrono::milliseconds(3200);
-/// Hosts with a small processor share claim later than the others.
-constexpr double weak_share = 0.2;
-constexpr auto weak_claim_delay = std::chrono::milliseconds(150);
+/// The owner's time goes to decisions for all, so hosts with a larger processor
+/// share claim sooner, up to the share that an owner can use...
+constexpr double full_share = 0.5;
+/// ...and one without any by this much later.
+constexpr auto weak_claim_delay = std::chrono::milliseconds(250);
+
+/// Before the last moment of a stop, calls get their final answer in this time.
+constexpr auto last_answers = std::chrono::milliseconds(400);
 
 duration claim_delay(const cell_identity& identity)
 {
-    return identity.processor_share < weak_share ? duration(weak_claim_delay)
-                                                 : duration(0);
+    const auto missing =
+        std::clamp(1 - identity.processor_share / full_share, 0.0, 1.0);
+    return std::chrono::duration_cast<duration>(weak_claim_delay * missing);
 }
 
 } // namespace
@@ -89,7 +89,8 @@
     {
         lead(now);
         owner_->tick(now);
-        front_.set_waiting(now, owner_->waiting());
+        if (owner_->has_counted())
+            front_.set_waiting(now, owner_->waiting());
     }
     else
         follow(now);
@@ -349,8 +350,9 @@
         return;
     election_.on_heard(now, epoch, from, item.at("a").get<std::string>(),
                        item.at("ok").get<bool>());
-    front_.set_waiting(
-        now, item.at("w").get<std::map<std::string, std::uint64_t>>());
+    if (item.contains("w"))
+        front_.set_waiting(
+            now, item["w"].get<std::map<std::string, std::uint64_t>>());
     front_.set_store_failing(!item.at("ok").get<bool>());
     if (item.at("seen").get<bool>())
         acks_seen_at_ = now;
@@ -440,13 +442,15 @@
     {
         if (!member.connected)
             continue;
-        post(host,
-             {{"k", "heartbeat"},
-              {"e", election_.epoch()},
-              {"a", context_.identity.peer_address},
-              {"ok", store_ok},
-              {"w", owner_->waiting()},
-              {"seen", now <= member.heard_at + config::cell_link_timeout}});
+        json heartbeat{
+            {"k", "heartbeat"},
+            {"e", election_.epoch()},
+            {"a", context_.identity.peer_address},
+            {"ok", store_ok},
+            {"seen", now <= member.heard_at + config::cell_link_timeout}};
+        if (owner_->has_counted())
+            heartbeat["w"] = owner_->waiting();
+        post(host, std::move(heartbeat));
     }
 }
 
@@ -459,159 +463,6 @@
     followed_.clear();
 }
 
-// ---------------------------------------------------------------- membership
-
-/// The hosts share a secret that lives in the store; the first one makes it.
-void cell_host::fetch_secret(time_point now)
-{
-    if (has_secret_ || secret_op_ || now < next_secret_)
-        return;
-    next_secret_ = now + config::cell_watch_retry;
-    const auto op = context_.next_op();
-    secret_op_ = op;
-    context_.out.emplace_back(store_read{op, cell_table::owner, secret_key});
-}
-
-void cell_host::on_secret(time_point now, const store_result& result)
-{
-    if (result.status == store_status::conflict)
-    {
-        next_secret_ = now;
-        return;
-    }
-    if (result.status != store_status::ok)
-        return;
-    if (!result.versions.empty())
-    {
-        // Read back what the commit has written.
-        next_secret_ = now;
-        fetch_secret(now);
-        return;
-    }
-    if (!result.rows.empty())
-    {
-        has_secret_ = true;
-        context_.out.emplace_back(open_links{result.rows.front().value});
-        connect(now);
-        return;
-    }
-    const auto op = context_.next_op();
-    secret_op_ = op;
-    store_commit commit;
-    commit.op = op;
-    commit.writes.push_back({cell_table::owner, secret_key, std::uint64_t{0},
-                             context_.entropy.hex(secret_bytes)});
-    context_.out.emplace_back(std::move(commit));
-}
-
-void cell_host::register_member(time_point now)
-{
-    if (member_op_ || now < next_member_op_)
-        return;
-    next_member_op_ = now + config::cell_member_poll_period;
-    const auto op = context_.next_op();
-    if (!registered_)
-    {
-        member_op_ = op;
-        store_commit commit;
-        commit.op = op;
-        commit.writes.push_back(
-            {cell_table::member, context_.identity.host, std::nullopt,
-             json{{"address", context_.identity.peer_address},
-                  {"data_centre", context_.identity.data_centre},
-                  {"incarnation", context_.identity.incarnation}}
-                 .dump()});
-        context_.out.emplace_back(std::move(commit));
-        return;
-    }
-    if (!owner_)
-        return;
-    member_op_ = op;
-    store_scan scan;
-    scan.op = op;
-    scan.table = cell_table::member;
-    scan.limit = member_page;
-    context_.out.emplace_back(std::move(scan));
-}
-
-void cell_host::on_members(time_point now, const store_result& result)
-{
-    if (result.status != store_status::ok)
-    {
-        next_member_op_ = now + config::cell_watch_retry;
-        return;
-    }
-    if (!registered_)
-    {
-        registered_ = true;
-        next_member_op_ = now;
-        context_.log(log_code::member_registered,
-                     context_.identity.incarnation);
-        return;
-    }
-    std::set<std::string> named;
-    for (const auto& row : result.rows)
-    {
-        const auto value = json::parse(row.value, nullptr, false);
-        if (!value.is_object() || row.key == context_.identity.host)
-            continue;
-        named.insert(row.key);
-        auto& member = members_[row.key];
-        member.address = value.value("address", std::string());
-        member.data_centre = value.value("data_centre", std::string());
-    }
-    for (auto at = members_.begin(); at != members_.end();)
-        at = named.count(at->first) ? std::next(at) : members_.erase(at);
-    connect(now);
-}
-
-/// The owner is connected to all, each other host to the owner.
-void cell_host::connect(time_point now)
-{
-    if (!has_secret_)
-        return;
-    std::vector<peer_address> wanted;
-    if (owner_)
-    {
-        for (auto& [host, member] : members_)
-        {
-            const bool silent =
-                member.connected &&
-                now > std::max(member.heard_at, member.connected_at) +
-                          config::cell_link_timeout;
-            if (silent)
-            {
-                member.redial_at = now + redial_pause;
-                member.connected = false;
-            }
-            if (now >= member.redial_at)
-                wanted.push_back({host, member.address});
-        }
-    }
-    else if (!election_.owner().empty() &&
-             election_.owner() != context_.identity.host)
-    {
-        const auto& owner = election_.owner();
-        if (connected_.count(owner) &&
-            now > std::max(acks_seen_at_, owner_connected_at_) +
-                      config::cell_link_timeout)
-        {
-            owner_redial_at_ = now + redial_pause;
-            connected_.erase(owner);
-        }
-        if (now >= owner_redial_at_)
-            wanted.push_back({owner, election_.owner_address()});
-    }
-    const auto same =
-        std::equal(wanted.begin(), wanted.end(), peers_.begin(), peers_.end(),
-                   [](const peer_address& a, const peer_address& b)
-                   { return a.host == b.host && a.address == b.address; });
-    if (same)
-        return;
-    peers_ = wanted;
-    context_.out.emplace_back(set_peers{std::move(wanted)});
-}
-
 // ----------------------------------------------------------- readiness, stop
 
 void cell_host::report_ready(time_point now)
@@ -635,7 +486,10 @@
         return;
     const bool drained = !owner_ && front_.pending() == 0 && relayed_.empty() &&
                          now >= stop_asked_ + stop_notice;
-    if (!drained && now < stop_asked_ + context_.identity.stop_limit)
+    const auto end = stop_asked_ + context_.identity.stop_limit;
+    if (drained || now >= end - last_answers)
+        front_.finish(now);
+    if (!drained && now < end)
         return;
     stopped_ = true;
     context_.out.emplace_back(stop_complete{});
--- a/src/cell_journal.cpp
+++ b/src/cell_journal.cpp
@@ -65,6 +65,17 @@
         target.durable.push_back(std::move(durable));
 }
 
+void cell_journal::discard(const std::string& table, const std::string& key)
+{
+    if (is_queued(table, key))
+    {
+        write(table, key, std::nullopt);
+        return;
+    }
+    discarded_.emplace_back();
+    discarded_.back().write = {table, key, std::nullopt, std::nullopt};
+}
+
 void cell_journal::after_all(continuation done)
 {
     if (!queue_.empty())
@@ -108,6 +119,7 @@
     if (!unsettled_)
     {
         if (queue_.empty() && !release_wanted_ &&
+            discarded_.size() < config::cell_commit_rows &&
             now < last_written_ + config::cell_beat_period)
             return std::nullopt;
         std::size_t bytes = 0;
@@ -120,6 +132,11 @@
             batch_.push_back(std::move(queue_.front()));
             queue_.pop_front();
         }
+        while (!discarded_.empty() && batch_.size() < config::cell_commit_rows)
+        {
+            batch_.push_back(std::move(discarded_.front()));
+            discarded_.pop_front();
+        }
         ++owner_.sequence;
         owner_.released = release_wanted_;
         unsettled_ = true;
@@ -131,7 +148,7 @@
         {cell_table::owner, owner_key, version_, to_text(owner_)});
     for (const auto& each : batch_)
         commit.writes.push_back(each.write);
-    in_flight_.push_back(op);
+    in_flight_.push_back({op, now});
     resend_at_ = overdue_at(now);
     next_commit_ = now + config::cell_commit_gap;
     return commit;
@@ -139,18 +156,23 @@
 
 time_point cell_journal::overdue_at(time_point now) const
 {
-    const auto wait =
-        answer_time_ * config::cell_commit_overdue_factor *
-        (std::int64_t{1} << (in_flight_.empty() ? 0 : in_flight_.size() - 1));
-    return now + std::clamp<duration>(wait, config::cell_commit_overdue_least,
-                                      config::cell_store_timeout);
+    auto wait =
+        std::max<duration>(answer_time_ * config::cell_commit_overdue_factor,
+                           config::cell_commit_overdue_least);
+    // Copies queue up at a slow store, so each one is waited for longer.
+    for (std::size_t i = 1; i < in_flight_.size(); ++i)
+        wait *= config::cell_commit_overdue_factor;
+    return now + std::min<duration>(wait, config::cell_store_timeout);
 }
 
 void cell_journal::note_answer_time(duration time)
 {
-    // The usual smoothing of round trip times (RFC 6298).
+    // Up at once, so that a store that turns slow is not flooded with copies;
+    // down with the usual smoothing of round trip times (RFC 6298).
     constexpr int weight = 8;
-    answer_time_ += (time - answer_time_) / weight;
+    answer_time_ = time > answer_time_
+                       ? time
+                       : answer_time_ + (time - answer_time_) / weight;
 }
 
 bool cell_journal::is_failing(time_point now) const
@@ -160,7 +182,6 @@
 
 void cell_journal::succeed(time_point now, std::uint64_t version)
 {
-    note_answer_time(now - first_sent_);
     in_flight_.clear();
     version_ = version;
     failures_ = 0;
@@ -177,8 +198,11 @@
 cell_journal::verdict cell_journal::on_result(time_point now,
                                               const store_result& result)
 {
-    in_flight_.erase(
-        std::find(in_flight_.begin(), in_flight_.end(), result.op));
+    const auto copy = copy_of(result.op);
+    if (result.status == store_status::ok ||
+        result.status == store_status::conflict)
+        note_answer_time(now - copy->sent_at);
+    in_flight_.erase(copy);
     if (result.status == store_status::ok && !result.versions.empty())
     {
         succeed(now, result.versions.front());
--- a/src/cell_journal_p.hpp
+++ b/src/cell_journal_p.hpp
@@ -74,6 +74,8 @@
     /// runs when the write is confirmed.
     void write(const std::string& table, const std::string& key,
                std::optional<std::string> value, continuation durable = {});
+    /// Removes a row that is not needed any more, with commits that have space.
+    void discard(const std::string& table, const std::string& key);
     /// Runs `done` when everything queued so far is confirmed.
     void after_all(continuation done);
     /// True when the write of a row is queued and no commit carries it yet.
@@ -88,8 +90,7 @@
     verdict on_result(time_point now, const store_result& result);
     bool expects(const op_id& op) const
     {
-        return std::find(in_flight_.begin(), in_flight_.end(), op) !=
-               in_flight_.end();
+        return copy_of(op) != in_flight_.end();
     }
     /// Gives the row up with the next commit.
     void release()
@@ -122,7 +123,19 @@
         row_write write;
         std::vector<continuation> durable;
     };
-    using row_name = std::pair<std::string, std::string>;
+    /// The commit as it was sent once.
+    struct commit_copy
+    {
+        op_id op;
+        time_point sent_at;
+    };
+
+    std::vector<commit_copy>::const_iterator copy_of(const op_id& op) const
+    {
+        return std::find_if(in_flight_.begin(), in_flight_.end(),
+                            [&op](const commit_copy& each)
+                            { return each.op == op; });
+    }
 
     void succeed(time_point now, std::uint64_t version);
     void note_answer_time(duration time);
@@ -132,9 +145,10 @@
     owner_row owner_;
     std::uint64_t version_;
     std::deque<item> queue_;
-    std::vector<item> batch_;      ///< Of the unsettled commit.
-    std::vector<op_id> in_flight_; ///< Copies of the commit without an answer.
-    bool unsettled_ = false;       ///< Sent, and its effect is not known.
+    std::vector<item> batch_; ///< Of the unsettled commit.
+    std::deque<item> discarded_;
+    std::vector<commit_copy> in_flight_; ///< Without an answer.
+    bool unsettled_ = false;             ///< Sent, and its effect is not known.
     bool release_wanted_ = false;
     time_point resend_at_;
     duration answer_time_; ///< Smoothed time from a commit to its answer.
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -14,12 +14,6 @@
 
 using json = nlohmann::json;
 
-/// Row of table `cell` with the ids of the workers that the owner holds.
-constexpr char lease_key[] = "leases";
-
-/// A job is worth something until this many times its objective.
-constexpr int late_factor = 3;
-
 constexpr double millis_per_core = 1000;
 
 constexpr auto count_period = std::chrono::milliseconds(200);
@@ -39,37 +33,6 @@
         scan(static_cast<load_part>(i), "");
 }
 
-// ------------------------------------------------------------------- loading
-
-void cell_owner::scan(load_part part, std::string after)
-{
-    store_scan scan;
-    scan.op = context_.next_op();
-    scan.after = std::move(after);
-    scan.limit = config::cell_scan_page;
-    switch (part)
-    {
-    case load_part::meta:
-        scan.table = cell_table::owner;
-        break;
-    case load_part::jobs:
-        scan.table = cell_table::job;
-        break;
-    case load_part::progress:
-        scan.table = cell_table::progress;
-        break;
-    case load_part::ended:
-        scan.table = cell_table::ended;
-        break;
-    case load_part::workers:
-    case load_part::count:
-        scan.table = context_.outside.worker_table();
-        break;
-    }
-    loads_.emplace(scan.op, part);
-    context_.out.emplace_back(std::move(scan));
-}
-
 bool cell_owner::on_store(time_point now, const store_result& result)
 {
     if (journal_.expects(result.op))
@@ -88,137 +51,6 @@
     return true;
 }
 
-void cell_owner::on_loaded(time_point now, load_part part,
-                           const store_result& result)
-{
-    if (result.status != store_status::ok)
-    {
-        scan(part, "");
-        return;
-    }
-    load_rows(now, part, result.rows);
-    if (result.more && !result.rows.empty())
-    {
-        scan(part, result.rows.back().key);
-        return;
-    }
-    if (part == load_part::workers)
-    {
-        worker_version_ = result.version;
-        worker_watch_.reset();
-        next_worker_watch_ = now;
-    }
-    loaded_parts_.insert(part);
-    if (!loaded_ &&
-        loaded_parts_.size() == static_cast<std::size_t>(load_part::count))
-        finish_load(now);
-}
-
-void cell_owner::load_rows(time_point now, load_part part,
-                           const std::vector<carobcourse::row>& rows)
-{
-    for (const auto& row : rows)
-    {
-        const auto value = json::parse(row.value, nullptr, false);
-        switch (part)
-        {
-        case load_part::meta:
-            if (row.key == lease_key && value.is_array())
-            {
-                for (const auto& id : value)
-                    if (id.is_string())
-                        unresolved_.insert(id.get<std::string>());
-                leased_ = unresolved_;
-            }
-            break;
-        case load_part::jobs:
-            if (auto job = cell_job::from_text(row.key, row.value))
-            {
-                job->durable = true;
-                jobs_.emplace(row.key, std::move(job));
-            }
-            else
-                context_.log(log_code::cell_row_unreadable,
-                             fmt::format("job={}", row.key));
-            break;
-        case load_part::progress:
-            loaded_progress_[row.key] = row.value;
-            break;
-        case load_part::ended:
-            if (value.is_object())
-            {
-                const auto phase =
-                    job_phase_from(value.value("p", std::string()));
-                if (phase)
-                    ended_[row.key] = {*phase,
-                                       value.value("t", std::int64_t{0})};
-            }
-            break;
-        case load_part::workers:
-        case load_part::count:
-            apply_worker_row(now, row.key, row.value);
-            break;
-        }
-    }
-}
-
-void cell_owner::finish_load(time_point now)
-{
-    loaded_ = true;
-    for (auto at = jobs_.begin(); at != jobs_.end();)
-    {
-        if (ended_.count(at->first))
-        {
-            journal_.write(cell_table::job, at->first, std::nullopt);
-            journal_.write(cell_table::progress, at->first, std::nullopt);
-            at = jobs_.erase(at);
-            continue;
-        }
-        auto& job = *at->second;
-        const auto progress = loaded_progress_.find(job.id());
-        if (progress != loaded_progress_.end() &&
-            !job.read_progress(progress->second, now))
-            context_.log(log_code::cell_row_unreadable,
-                         fmt::format("progress={}", job.id()));
-        job.add_due(context_.unix_ms, now);
-        job.mark_unclear();
-        set_objective(now, job);
-        ++at;
-    }
-    loaded_progress_.clear();
-    for (const auto& [id, worker] : workers_.all())
-        unresolved_.insert(id);
-    context_.log(log_code::cell_loaded,
-                 fmt::format("epoch={} jobs={} ended={} workers={} after_us={}",
-                             row().epoch, jobs_.size(), ended_.size(),
-                             workers_.all().size(),
-                             (now - claimed_at_).count()));
-    for (auto& job : jobs_)
-        if (is_final(job.second->phase()))
-            dirty_.insert(job.first);
-    const auto held_back = std::exchange(held_back_, {});
-    for (const auto& [host, item] : held_back)
-        on_front_call(now, host, item);
-    record_leases();
-    dispatch_due_ = true;
-}
-
-void cell_owner::set_objective(time_point now, cell_job& job)
-{
-    const auto* queue =
-        context_.config ? context_.config->queue_named(job.queue()) : nullptr;
-    const auto age =
-        std::max<std::int64_t>(0, context_.unix_ms - job.accepted_unix_ms());
-    const auto chain = static_cast<double>(job.chain_ms());
-    const auto aim = std::chrono::milliseconds(
-        queue ? static_cast<std::int64_t>(queue->stretch * chain) +
-                    queue->slack_ms
-              : static_cast<std::int64_t>(chain));
-    const auto start = now - std::chrono::milliseconds(age);
-    job.objective = start + aim;
-    job.late_end = start + aim * late_factor;
-}
-
 // ------------------------------------------------------------------- callers
 
 void cell_owner::on_front_call(time_point now, const std::string& host,
@@ -485,8 +317,8 @@
     ended_[id] = {phase, context_.unix_ms};
     // Not with the final state: a removal takes the place of an earlier write
     // of its row, which may go into an earlier commit.
-    journal_.write(cell_table::job, id, std::nullopt);
-    journal_.write(cell_table::progress, id, std::nullopt);
+    journal_.discard(cell_table::job, id);
+    journal_.discard(cell_table::progress, id);
     const auto found = jobs_.find(id);
     if (found != jobs_.end())
     {
@@ -546,6 +378,7 @@
 void cell_owner::count_waiting()
 {
     waiting_.clear();
+    counted_ = true;
     for (const auto& [id, job] : jobs_)
     {
         if (job->durable && !job->has_started() && !is_final(job->phase()))
@@ -601,7 +434,7 @@
                 ++at;
                 continue;
             }
-            journal_.write(cell_table::ended, at->first, std::nullopt);
+            journal_.discard(cell_table::ended, at->first);
             at = ended_.erase(at);
             ++removed;
         }
@@ -668,15 +501,4 @@
     }
 }
 
-void cell_owner::record_leases()
-{
-    std::set<std::string> ids;
-    for (const auto& [id, worker] : workers_.all())
-        ids.insert(id);
-    if (ids == leased_)
-        return;
-    leased_ = std::move(ids);
-    journal_.write(cell_table::owner, lease_key, json(leased_).dump());
-}
-
 } // namespace carobcourse
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -223,12 +223,11 @@
                 0, context_.unix_ms - job.accepted_unix_ms())));
     }
     context_.log(log_code::cell_task_started,
-                 fmt::format("task={}.{}.{}.{} run={} worker={} room_cpu={} "
+                 fmt::format("task={} run={} worker={} room_cpu={} "
                              "room_memory_mb={} config={} epoch={}",
-                             id.job, id.occurrence, id.step, id.index, run,
-                             at.report().id, at.room().cpu_millis,
-                             at.room().memory_mb, context_.config->version(),
-                             row().epoch));
+                             to_string(id), run, at.report().id,
+                             at.room().cpu_millis, at.room().memory_mb,
+                             context_.config->version(), row().epoch));
     send_start(now, at, {id, run}, ticket, 0);
 }
 
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -96,7 +96,13 @@
     {
         return journal_.last_written();
     }
+    /// False until the jobs are read and counted.
+    bool has_counted() const
+    {
+        return counted_;
+    }
     /// Accepted jobs of each queue for which no task has started.
+    /// Precondition: `has_counted()`.
     const std::map<std::string, std::uint64_t>& waiting() const
     {
         return waiting_;
@@ -185,13 +191,14 @@
         count
     };
 
-    // Loading (cell_owner.cpp).
+    // Loading (cell_owner_load.cpp).
     void scan(load_part part, std::string after);
     void on_loaded(time_point now, load_part part, const store_result& result);
     void load_rows(time_point now, load_part part,
                    const std::vector<carobcourse::row>& rows);
     void finish_load(time_point now);
     void set_objective(time_point now, cell_job& job);
+    void record_leases();
 
     // Callers (cell_owner.cpp).
     void submit(time_point now, const reply_address& from,
@@ -222,7 +229,6 @@
     void apply_worker_row(time_point now, const std::string& key,
                           const std::string& value);
     void on_unlisted(time_point now, const std::string& id);
-    void record_leases();
     std::uint64_t send_call(time_point now, const std::string& agent,
                             worker_call call, pending_call pending);
     std::string agent_for(const cell_worker& worker, unsigned attempt) const;
@@ -233,11 +239,13 @@
     void hold_due(time_point now);
     bool look_after(time_point now, cell_worker& worker);
     void hold(time_point now, cell_worker& worker);
-    void send_stops(time_point now, cell_worker& worker);
     void on_hold(time_point now, cell_worker& worker,
                  const pending_call& pending, const worker_answer& answer);
+
+    // Runs (cell_owner_runs.cpp).
     void on_start(time_point now, cell_worker& worker,
                   const pending_call& pending, const worker_answer& answer);
+    void send_stops(time_point now, cell_worker& worker);
     void on_stop(time_point now, cell_worker& worker,
                  const pending_call& pending, const worker_answer& answer);
     void reconcile(time_point now, cell_worker& worker,
@@ -306,6 +314,7 @@
     std::set<std::string> attention_; ///< Workers with something new.
     time_point next_look_;            ///< At all workers.
     std::map<std::string, std::uint64_t> waiting_;
+    bool counted_ = false;
     customer_rates rates_;
     std::uint64_t arrivals_ = 0;
     time_point next_count_;
--- a/src/cell_types.cpp
+++ b/src/cell_types.cpp
@@ -41,6 +41,12 @@
     return std::nullopt;
 }
 
+std::string to_string(const cell_task_id& task)
+{
+    return fmt::format("{}.{}.{}.{}", task.job, task.occurrence, task.step,
+                       task.index);
+}
+
 const char* to_string(job_phase phase)
 {
     return phase_names[static_cast<std::size_t>(phase)];
--- a/src/cell_types_p.hpp
+++ b/src/cell_types_p.hpp
@@ -187,6 +187,8 @@
 };
 
 const char* to_string(job_phase phase);
+/// Name in logs: job, occurrence, step and index, with points between.
+std::string to_string(const cell_task_id& task);
 /// Returns nothing for an unknown name.
 std::optional<job_phase> job_phase_from(const std::string& name);
 inline bool is_final(job_phase phase)
--- a/src/shell_cell.cpp
+++ b/src/shell_cell.cpp
@@ -6,13 +6,13 @@
 #include <chrono>
 #include <csignal>
 #include <fmt/format.h>
-#include <openssl/rand.h>
 #include <optional>
 #include <stdexcept>
 #include <utility>
 
 #include "bounded_ring_p.hpp"
 #include "cell_host_p.hpp"
+#include "shell_entropy_p.hpp"
 #include "shell_http_server_p.hpp"
 #include "shell_log_p.hpp"
 #include "shell_peer_link_p.hpp"
@@ -32,23 +32,6 @@
 constexpr int http_not_found = 404;
 constexpr int http_unavailable = 503;
 
-class random_bytes final : public entropy_source
-{
-public:
-    std::string hex(std::size_t bytes) override
-    {
-        std::string out;
-        for (std::size_t i = 0; i < bytes; ++i)
-        {
-            unsigned char byte = 0;
-            if (RAND_bytes(&byte, 1) != 1)
-                throw std::runtime_error("no random bytes from the system");
-            out += fmt::format("{:02x}", byte);
-        }
-        return out;
-    }
-};
-
 /// Signals for this process, blocked in all threads that start later.
 class process_signals
 {
@@ -132,8 +115,15 @@
         }
         write_log({log_code::stopped, options_.identity.host});
         const auto end = now() + last_writes;
-        while (now() < end && front_->is_writing())
-            ring_.pop_all(tick_period);
+        // Calls that were read meanwhile are refused, not dropped.
+        while (now() < end)
+        {
+            const auto events = ring_.pop_all(tick_period);
+            if (!events.empty())
+                handle(events);
+            else if (!front_->is_writing())
+                break;
+        }
     }
 
 private:
--- a/src/shell_serve.cpp
+++ b/src/shell_serve.cpp
@@ -7,12 +7,12 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <memory>
-#include <openssl/rand.h>
 #include <stdexcept>
 #include <utility>
 
 #include "bounded_ring_p.hpp"
 #include "entry_host_p.hpp"
+#include "shell_entropy_p.hpp"
 #include "shell_http_server_p.hpp"
 #include "shell_log_p.hpp"
 #include "shell_peer_link_p.hpp"
@@ -39,26 +39,13 @@
 
     std::string hex(std::size_t bytes) override
     {
-        auto out = draw(bytes);
+        auto out = random_hex(bytes);
         if (trace_)
             trace_->write_entropy(out);
         return out;
     }
 
 private:
-    static std::string draw(std::size_t bytes)
-    {
-        std::string out;
-        for (std::size_t i = 0; i < bytes; ++i)
-        {
-            unsigned char byte = 0;
-            if (RAND_bytes(&byte, 1) != 1)
-                throw std::runtime_error("no random bytes from the system");
-            out += fmt::format("{:02x}", byte);
-        }
-        return out;
-    }
-
     trace_writer* trace_ = nullptr;
 };
 
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -214,7 +214,7 @@
     std::vector<end_report> ends;
     std::uint64_t next_end = 1;
     bool reachable = true;
-    bool loses_answers = false;      ///< Calls take effect without an answer.
+    bool loses_answers = false; ///< Calls take effect without an answer.
     /// The same for single calls.
     std::function<bool(const worker_call&)> loses;
     /// Single calls that have no effect and no answer.
@@ -263,6 +263,7 @@
     std::map<std::string, fake_worker> workers;
     std::map<std::string, host_slot> hosts;
     std::map<call_id, caller_answer> answers;
+    std::map<std::string, double> shares; ///< Of a processor, by host.
     bool store_down = false;
     bool store_loses_answers = false;
     milliseconds store_time = milliseconds(4);
@@ -361,6 +362,9 @@
         identity.data_centre = data_centre;
         identity.incarnation = slot.entropy->hex(8);
         identity.peer_address = name;
+        const auto share = shares.find(name);
+        if (share != shares.end())
+            identity.processor_share = share->second;
         slot.data_centre = data_centre;
         slot.host = std::make_unique<cell_host>(
             identity, slot.life * 77 + hosts.size(), *slot.entropy, rows);
--- a/tests/test_cell_journal.cpp
+++ b/tests/test_cell_journal.cpp
@@ -129,3 +129,48 @@
     at.answer(*commit);
     CHECK_FALSE(at.commits.is_failing(at.now));
 }
+
+TEST_CASE("A store that turns slow is not flooded with copies")
+{
+    journal at;
+    const auto answer_after = [&at](milliseconds time)
+    {
+        at.commits.write("job", "a", "x");
+        const auto commit = at.wait(milliseconds(50));
+        REQUIRE(commit);
+        int copies = 0;
+        const auto end = at.now + time;
+        while (at.now < end)
+        {
+            at.now += milliseconds(1);
+            copies += at.next() ? 1 : 0;
+        }
+        at.answer(*commit);
+        return copies;
+    };
+    for (int i = 0; i < 20; ++i)
+        CHECK(answer_after(milliseconds(5)) == 0);
+    CHECK(answer_after(milliseconds(240)) <= 1);
+    for (int i = 0; i < 10; ++i)
+        CHECK(answer_after(milliseconds(480)) == 0);
+}
+
+TEST_CASE("Rows that are not needed go only where a commit has space")
+{
+    journal at;
+    for (int i = 0; i < 60; ++i)
+        at.commits.discard("job", std::to_string(i));
+    for (int i = 0; i < 70; ++i)
+        at.commits.write("job", std::to_string(1000 + i), "x");
+    const auto first = at.wait(milliseconds(50));
+    REQUIRE(first);
+    // The owner's row, 70 writes, and 26 of the removals.
+    CHECK(first->writes.size() == 97);
+    CHECK(first->writes[70].value);
+    CHECK_FALSE(first->writes[71].value);
+    at.answer(*first);
+    at.commits.write("job", "a", "x");
+    const auto second = at.wait(milliseconds(50));
+    REQUIRE(second);
+    CHECK(second->writes.size() == 36);
+}
--- a/tests/test_cell_lost_answers.cpp
+++ b/tests/test_cell_lost_answers.cpp
@@ -146,3 +146,14 @@
     CHECK(cell.answers[late].retry_after_ms == 0);
     CHECK(cell.answers[late].closing);
 }
+
+TEST_CASE("The host with the largest share of a processor claims the cell")
+{
+    cell_world cell(0, 2);
+    cell.shares = {{"h0", 0.12}, {"h1", 0.5}, {"h2", 0.25}};
+    for (const auto* name : {"h0", "h1", "h2"})
+        cell.start_host(name, "dc0");
+    REQUIRE(cell.run_until(milliseconds(3000),
+                           [&] { return !cell.owner().empty(); }));
+    CHECK(cell.owner() == "h1");
+}
--- a/tests/test_cell_recovery.cpp
+++ b/tests/test_cell_recovery.cpp
@@ -288,6 +288,58 @@
     cell.check_all_done(1, 4);
 }
 
+TEST_CASE("A host that stops while its owner is silent answers every call")
+{
+    running_cell cell;
+    const auto host = cell.other_than_owner();
+    cell.hosts[cell.owner()].paused = true;
+    for (auto& [name, slot] : cell.hosts)
+        if (name != host)
+            slot.paused = true;
+    cell.store_down = true;
+    cell.hosts[host].inbox.emplace_back(stop_request{});
+    std::vector<call_id> calls;
+    while (!cell.hosts[host].stopped)
+    {
+        calls.push_back(cell.submit(
+            host, static_cast<unsigned>(100 + calls.size()), cell.tasks(1, 1)));
+        cell.run(milliseconds(100));
+        REQUIRE(calls.size() < 100);
+    }
+    CHECK(calls.size() > 30);
+    for (const auto call : calls)
+        CHECK(cell.answers.count(call) == 1);
+}
+
+TEST_CASE("Waiting jobs are counted right while a new owner still loads")
+{
+    running_cell cell;
+    // One task fills a worker, so that the others wait.
+    for (unsigned i = 1; i <= 10; ++i)
+        cell.submit("h0", i, cell.tasks(4, 8000, 800));
+    cell.run(milliseconds(1000));
+    cell.store_time = milliseconds(150);
+    cell.plan = [](const cell_task_id&, std::uint32_t) {
+        return fake_run{time_point(milliseconds(20000)), end_kind::done, {}};
+    };
+    cell.kill_host(cell.owner());
+    for (int i = 0; i < 40; ++i)
+    {
+        std::vector<call_id> calls;
+        for (const auto& [name, slot] : cell.hosts)
+            if (slot.host)
+                calls.push_back(
+                    cell.call(name, caller_verb::status, "/batch/"));
+        cell.run(milliseconds(50));
+        for (const auto call : calls)
+        {
+            const auto found = cell.answers.find(call);
+            if (found != cell.answers.end() && found->second.waiting)
+                CHECK(*found->second.waiting >= 4);
+        }
+    }
+}
+
 TEST_CASE("Runs of a job that has ended keep their room until they are gone")
 {
     // The owner dies after a cancel is durable and before the stops are out.
