Derive or share what the owner of the cell kept or wrote twice

find_job, take_submitters, give_up_calls and discard_rows replace loops and lookups that stood two to nine times; scans and watches of tables are built in one place; the longest lease of an unknown owner and the wait after a stop are named limits. The key of a step is made once, not in each round of dispatch. Removed as nothing read them: arrivals_, ready_since with the times that were passed for it, steps_done. Rows of ended jobs that a takeover finds are removed like those of jobs that end, with commits that have space. Two tests share their started cell.

--- a/src/cell_context_p.hpp
+++ b/src/cell_context_p.hpp
@@ -9,6 +9,7 @@
 
 #include "cell_config_p.hpp"
 #include "cell_event_p.hpp"
+#include "cell_limits_p.hpp"
 #include "keyring_p.hpp"
 #include "metrics_p.hpp"
 
@@ -57,6 +58,28 @@
     {
         return ++calls_;
     }
+    /// Asks for a page of a table behind the key `after`.
+    op_id scan(std::string table, std::string after = {})
+    {
+        store_scan scan;
+        scan.op = next_op();
+        scan.table = std::move(table);
+        scan.after = std::move(after);
+        scan.limit = config::cell_scan_page;
+        out.emplace_back(scan);
+        return scan.op;
+    }
+    /// Waits for changes of a table after a version.
+    op_id watch(std::string table, std::uint64_t after)
+    {
+        store_watch watch;
+        watch.op = next_op();
+        watch.table = std::move(table);
+        watch.after = after;
+        watch.wait_ms = config::cell_watch_wait.count();
+        out.emplace_back(watch);
+        return watch.op;
+    }
     void log(log_code code, std::string detail)
     {
         out.emplace_back(log_record{code, std::move(detail)});
--- a/src/cell_front.cpp
+++ b/src/cell_front.cpp
@@ -266,9 +266,9 @@
     caller_answer out;
     out.id = id;
     out.code = code;
-    const bool elsewhere = !is_unknown && !store_failing_;
-    out.retry_after_ms = elsewhere ? 0 : config::cell_retry_after.count();
-    out.closing = elsewhere;
+    out.retry_after_ms =
+        is_unknown ? config::cell_retry_after.count() : retry_after_ms();
+    out.closing = !is_unknown && !store_failing_;
     answer(std::move(out));
 }
 
--- a/src/cell_host_members.cpp
+++ b/src/cell_host_members.cpp
@@ -15,12 +15,12 @@
 
 using json = nlohmann::json;
 
-constexpr std::size_t member_page = 500;
 constexpr char secret_key[] = "secret";
 constexpr std::size_t secret_bytes = 32;
 /// A broken link is left out of the peers for so long, so that it is dialled
 /// anew.
 constexpr auto redial_pause = std::chrono::milliseconds(40);
+
 } // namespace
 
 /// The hosts share a secret that lives in the store; the first one makes it.
@@ -71,12 +71,11 @@
     if (member_op_ || now < next_member_op_)
         return;
     next_member_op_ = now + config::cell_member_poll_period;
-    const auto op = context_.next_op();
     if (!registered_)
     {
-        member_op_ = op;
         store_commit commit;
-        commit.op = op;
+        commit.op = context_.next_op();
+        member_op_ = commit.op;
         commit.writes.push_back(
             {cell_table::member, context_.identity.host, std::nullopt,
              json{{"address", context_.identity.peer_address},
@@ -86,14 +85,8 @@
         context_.out.emplace_back(std::move(commit));
         return;
     }
-    if (!owner_)
-        return;
-    member_op_ = op;
-    store_scan scan;
-    scan.op = op;
-    scan.table = cell_table::member;
-    scan.limit = member_page;
-    context_.out.emplace_back(std::move(scan));
+    if (owner_)
+        member_op_ = context_.scan(cell_table::member);
 }
 
 void cell_host::on_members(time_point now, const store_result& result)
--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -53,7 +53,7 @@
     return occurrences_done_ == total;
 }
 
-occurrence_run& cell_job::occurrence_at(std::uint32_t number, time_point now)
+occurrence_run& cell_job::occurrence_at(std::uint32_t number)
 {
     auto& run = occurrences_[number];
     if (run.steps.empty())
@@ -63,17 +63,18 @@
         {
             step_run each;
             each.tasks.resize(step.count);
-            each.ready_since = now;
+            each.key = step_key_of(
+                id_, number, static_cast<std::uint32_t>(run.steps.size()));
             run.steps.push_back(std::move(each));
         }
     }
     return run;
 }
 
-void cell_job::add_due(std::int64_t unix_ms, time_point now)
+void cell_job::add_due(std::int64_t unix_ms)
 {
     for (auto due = next_due_ms(); due && *due <= unix_ms; due = next_due_ms())
-        occurrence_at(next_occurrence_++, now);
+        occurrence_at(next_occurrence_++);
 }
 
 std::optional<std::int64_t> cell_job::next_due_ms() const
@@ -152,10 +153,10 @@
     if (step->done != step->tasks.size())
         return;
     step->advice = {};
-    occurrence.steps_done = static_cast<std::uint32_t>(std::count_if(
+    const bool all_done = std::all_of(
         occurrence.steps.begin(), occurrence.steps.end(),
-        [](const step_run& each) { return each.done == each.tasks.size(); }));
-    if (occurrence.steps_done == occurrence.steps.size())
+        [](const step_run& each) { return each.done == each.tasks.size(); });
+    if (all_done)
         ++occurrences_done_;
 }
 
@@ -245,7 +246,7 @@
     return value.dump();
 }
 
-bool cell_job::read_progress(const std::string& text, time_point now)
+bool cell_job::read_progress(const std::string& text)
 {
     const auto value = json::parse(text, nullptr, false);
     try
@@ -257,7 +258,7 @@
         for (const auto& item : value.at("o"))
         {
             const auto number = item.at("k").get<std::uint32_t>();
-            auto& run = occurrence_at(number, now);
+            auto& run = occurrence_at(number);
             const auto& steps = item.at("s");
             for (std::size_t s = 0; s < run.steps.size() && s < steps.size();
                  ++s)
--- a/src/cell_job_p.hpp
+++ b/src/cell_job_p.hpp
@@ -55,18 +55,17 @@
 /// The tasks of one step of one occurrence.
 struct step_run
 {
+    std::uint64_t key = 0; ///< See `step_key_of`.
     std::vector<cell_task> tasks;
     std::uint32_t done = 0;
     std::uint32_t active = 0; ///< Starting, running or unclear.
     step_advice advice;
     std::set<std::uint32_t> gang_failed_runs;
-    time_point ready_since;
 };
 
 struct occurrence_run
 {
     std::vector<step_run> steps;
-    std::uint32_t steps_done = 0;
 };
 
 class cell_job
@@ -111,7 +110,7 @@
     }
 
     /// Adds occurrences that are due. Requires a non-final phase.
-    void add_due(std::int64_t unix_ms, time_point now);
+    void add_due(std::int64_t unix_ms);
     /// Unix time of the next occurrence, nothing when all are due.
     std::optional<std::int64_t> next_due_ms() const;
 
@@ -160,7 +159,7 @@
     /// Empty text when a row is unreadable.
     static std::unique_ptr<cell_job> from_text(const std::string& id,
                                                const std::string& spec);
-    bool read_progress(const std::string& text, time_point now);
+    bool read_progress(const std::string& text);
     /// Marks all tasks that are not done as unclear.
     void mark_unclear();
 
@@ -176,7 +175,7 @@
     bool durable = false;
 
 private:
-    occurrence_run& occurrence_at(std::uint32_t number, time_point now);
+    occurrence_run& occurrence_at(std::uint32_t number);
     bool all_ended() const;
     double count_work() const;
 
--- a/src/cell_limits_p.hpp
+++ b/src/cell_limits_p.hpp
@@ -64,6 +64,10 @@
 constexpr auto cell_worker_lease = 6000ms;
 /// Clock rate of a worker may be this much off, in percent.
 constexpr int cell_clock_drift_percent = 2;
+/// A lease that an unknown owner granted is over after this time, on a worker's
+/// clock that is slow beside an own one that is fast.
+constexpr auto cell_worker_lease_most =
+    cell_worker_lease * (100 + 2 * cell_clock_drift_percent) / 100;
 /// A start that arrives later than this is refused by the worker, so that one
 /// without an answer is settled soon.
 constexpr auto cell_start_window = 700ms;
@@ -83,6 +87,8 @@
 /// Wait for a commit before a worker with unacknowledged ends is asked again.
 constexpr auto cell_ack_patience = 400ms;
 constexpr auto cell_stop_retry = 500ms;
+/// A run whose stop was taken is stopped again after this time.
+constexpr auto cell_stop_patience = 2000ms;
 /// Added to the time of a call that another host makes.
 constexpr auto cell_relay_margin = 250ms;
 /// A worker that refused a start is left alone for so long.
--- a/src/cell_operator.cpp
+++ b/src/cell_operator.cpp
@@ -12,13 +12,7 @@
 {
     if (after.empty())
         scanned_.clear();
-    store_scan scan;
-    scan.op = context_.next_op();
-    scan.table = context_.outside.operator_table();
-    scan.after = std::move(after);
-    scan.limit = config::cell_scan_page;
-    op_ = scan.op;
-    context_.out.emplace_back(std::move(scan));
+    op_ = context_.scan(context_.outside.operator_table(), std::move(after));
 }
 
 void cell_operator::tick(time_point now)
@@ -31,13 +25,7 @@
         scan("");
         return;
     }
-    store_watch watch;
-    watch.op = context_.next_op();
-    watch.table = context_.outside.operator_table();
-    watch.after = version_;
-    watch.wait_ms = config::cell_watch_wait.count();
-    op_ = watch.op;
-    context_.out.emplace_back(std::move(watch));
+    op_ = context_.watch(context_.outside.operator_table(), version_);
 }
 
 bool cell_operator::on_store(time_point now, const store_result& result)
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -51,6 +51,12 @@
     return true;
 }
 
+cell_job* cell_owner::find_job(const std::string& id) const
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : found->second.get();
+}
+
 // ------------------------------------------------------------------- callers
 
 void cell_owner::on_front_call(time_point now, const std::string& host,
@@ -108,10 +114,9 @@
         reply(from, result_code::ok);
         return;
     }
-    const auto known = jobs_.find(id);
-    if (known != jobs_.end())
+    if (const auto* known = find_job(id))
     {
-        if (known->second->durable)
+        if (known->durable)
             reply(from, result_code::ok);
         else
             submitters_[id].push_back(from);
@@ -166,33 +171,36 @@
         refuse(now, from, id, admitted.code, admitted.retry_after_ms);
         return;
     }
-    job->add_due(context_.unix_ms, now);
+    job->add_due(context_.unix_ms);
     auto text = job->spec_text();
     jobs_.emplace(id, std::move(job));
-    ++arrivals_;
     submitters_[id].push_back(from);
     journal_.write(cell_table::job, id, std::move(text),
-                   [this, id, now] { accept(now, id); });
+                   [this, id] { accept(id); });
     dispatch_due_ = true;
 }
 
-void cell_owner::accept(time_point now, const std::string& id)
+std::vector<cell_owner::reply_address>
+cell_owner::take_submitters(const std::string& id)
 {
-    const auto found = jobs_.find(id);
-    if (found == jobs_.end())
+    auto waiting = submitters_.extract(id);
+    return waiting.empty() ? std::vector<reply_address>()
+                           : std::move(waiting.mapped());
+}
+
+void cell_owner::accept(const std::string& id)
+{
+    auto* job = find_job(id);
+    if (!job)
         return;
-    auto& job = *found->second;
-    job.durable = true;
-    context_.counters.count("carobcourse_jobs_accepted_total", job.queue());
+    job->durable = true;
+    context_.counters.count("carobcourse_jobs_accepted_total", job->queue());
     context_.log(log_code::job_accepted,
                  fmt::format("job={} queue={} customer={} excess={} epoch={}",
-                             id, job.queue(), job.customer(), job.excess,
+                             id, job->queue(), job->customer(), job->excess,
                              row().epoch));
-    const auto waiting = submitters_.extract(id);
-    if (!waiting.empty())
-        for (const auto& each : waiting.mapped())
-            reply(each, result_code::ok);
-    static_cast<void>(now);
+    for (const auto& each : take_submitters(id))
+        reply(each, result_code::ok);
     dispatch_due_ = true;
 }
 
@@ -209,11 +217,9 @@
             continue;
         }
         journal_.withdraw(cell_table::job, id);
-        const auto waiting = submitters_.extract(id);
-        if (!waiting.empty())
-            for (const auto& each : waiting.mapped())
-                refuse(now, each, id, result_code::store_unavailable,
-                       config::cell_retry_after.count());
+        for (const auto& each : take_submitters(id))
+            refuse(now, each, id, result_code::store_unavailable,
+                   config::cell_retry_after.count());
         context_.counters.count_refusal(result_code::store_unavailable);
         context_.log(log_code::cell_job_refused,
                      fmt::format("job={} code={} reason=commit_not_sent", id,
@@ -225,18 +231,17 @@
 void cell_owner::cancel(time_point now, const reply_address& from,
                         const std::string& id)
 {
-    const auto found = jobs_.find(id);
-    if (found == jobs_.end())
+    auto* job = find_job(id);
+    if (!job)
     {
         reply(from,
               ended_.count(id) ? result_code::ok : result_code::job_unknown);
         return;
     }
-    auto& job = *found->second;
-    if (!is_final(job.phase()))
+    if (!is_final(job->phase()))
     {
-        job.cancel();
-        finalize(now, job);
+        job->cancel();
+        finalize(now, *job);
     }
     journal_.after_all([this, from] { reply(from, result_code::ok); });
 }
@@ -249,14 +254,14 @@
         reply(from, result_code::ok, ended->second.phase);
         return;
     }
-    const auto found = jobs_.find(id);
-    if (found == jobs_.end())
+    const auto* job = find_job(id);
+    if (!job)
     {
         reply(from, result_code::job_unknown);
         return;
     }
     // A final phase is shown once it is durable.
-    const auto phase = found->second->phase();
+    const auto phase = job->phase();
     reply(from, result_code::ok, is_final(phase) ? job_phase::running : phase);
 }
 
@@ -311,14 +316,20 @@
         [this, now, id, phase] { on_final(now, id, phase); });
 }
 
+/// Of a job whose final state is durable. Not together with that: a removal
+/// takes the place of an earlier write of its row, which may go into an earlier
+/// commit.
+void cell_owner::discard_rows(const std::string& id)
+{
+    journal_.discard(cell_table::job, id);
+    journal_.discard(cell_table::progress, id);
+}
+
 void cell_owner::on_final(time_point now, const std::string& id,
                           job_phase phase)
 {
     ended_[id] = {phase, context_.unix_ms};
-    // Not with the final state: a removal takes the place of an earlier write
-    // of its row, which may go into an earlier commit.
-    journal_.discard(cell_table::job, id);
-    journal_.discard(cell_table::progress, id);
+    discard_rows(id);
     const auto found = jobs_.find(id);
     if (found != jobs_.end())
     {
@@ -334,10 +345,8 @@
                         row().epoch));
         jobs_.erase(found);
     }
-    const auto waiting = submitters_.extract(id);
-    if (!waiting.empty())
-        for (const auto& each : waiting.mapped())
-            reply(each, result_code::ok);
+    for (const auto& each : take_submitters(id))
+        reply(each, result_code::ok);
     stop_job_runs(now, id);
     dispatch_due_ = true;
 }
@@ -347,14 +356,13 @@
     const auto dirty = std::exchange(dirty_, {});
     for (const auto& id : dirty)
     {
-        const auto found = jobs_.find(id);
-        if (found == jobs_.end())
+        auto* job = find_job(id);
+        if (!job)
             continue;
-        auto& job = *found->second;
-        if (is_final(job.phase()))
-            finalize(now, job);
+        if (is_final(job->phase()))
+            finalize(now, *job);
         else
-            journal_.write(cell_table::progress, id, job.progress_text());
+            journal_.write(cell_table::progress, id, job->progress_text());
     }
     const auto due = std::exchange(acks_due_, {});
     for (const auto& id : due)
@@ -397,20 +405,12 @@
         const auto due = job->next_due_ms();
         if (due && *due <= context_.unix_ms && !is_final(job->phase()))
         {
-            job->add_due(context_.unix_ms, now);
+            job->add_due(context_.unix_ms);
             dispatch_due_ = true;
         }
     }
-    std::vector<std::uint64_t> overdue;
-    for (const auto& [id, call] : calls_)
-        if (now >= call.deadline)
-            overdue.push_back(id);
-    for (const auto id : overdue)
-    {
-        worker_answer none;
-        none.id = id;
-        on_answer(now, none);
-    }
+    give_up_calls(now, [now](const pending_call& call)
+                  { return now >= call.deadline; });
     if (now >= next_count_)
     {
         next_count_ = now + count_period;
@@ -488,17 +488,9 @@
         if (!agent.leaving)
             lanes.push_back(agent.host);
     }
-    std::vector<std::uint64_t> lost;
-    for (const auto& [id, call] : calls_)
-        if (hosts.count(call.agent) == 0)
-            lost.push_back(id);
     lanes_.set_hosts(std::move(lanes));
-    for (const auto id : lost)
-    {
-        worker_answer none;
-        none.id = id;
-        on_answer(now, none);
-    }
+    give_up_calls(now, [&hosts](const pending_call& call)
+                  { return hosts.count(call.agent) == 0; });
 }
 
 } // namespace carobcourse
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -72,7 +72,7 @@
                 input.excess = job->excess;
                 input.objective = job->objective;
                 input.chain_ms = job->spec().steps[s].estimate_ms;
-                input.tie = step_key_of(id, number, s);
+                input.tie = step.key;
                 ready.push_back({order_of(input, now), job.get(), queue, number,
                                  s, input.tie, waiting});
             }
@@ -525,15 +525,13 @@
                            const worker_answer& answer)
 {
     lanes_.end(now, pending.agent);
-    const auto found = jobs_.find(pending.job);
+    auto* job = find_job(pending.job);
     auto* step =
-        found == jobs_.end()
-            ? nullptr
-            : found->second->find_step(pending.occurrence, pending.step);
+        job ? job->find_step(pending.occurrence, pending.step) : nullptr;
     if (!step)
         return;
     step->advice.call = 0;
-    const bool gang = found->second->spec().steps[pending.step].gang;
+    const bool gang = job->spec().steps[pending.step].gang;
     step->advice.ask_again_at = now + (gang ? ask_again_gang : ask_again);
     if (answer.status != order_status::ok)
     {
@@ -546,8 +544,7 @@
         return;
     }
     const auto* queue =
-        context_.config ? context_.config->queue_named(found->second->queue())
-                        : nullptr;
+        context_.config ? context_.config->queue_named(job->queue()) : nullptr;
     if (!queue || !queue->advice)
         return;
     for (const auto& id : pending.asked)
--- a/src/cell_owner_load.cpp
+++ b/src/cell_owner_load.cpp
@@ -22,33 +22,28 @@
 
 } // namespace
 
-void cell_owner::scan(load_part part, std::string after)
+std::string cell_owner::table_of(load_part part) const
 {
-    store_scan scan;
-    scan.op = context_.next_op();
-    scan.after = std::move(after);
-    scan.limit = config::cell_scan_page;
     switch (part)
     {
     case load_part::meta:
-        scan.table = cell_table::owner;
-        break;
+        return cell_table::owner;
     case load_part::jobs:
-        scan.table = cell_table::job;
-        break;
+        return cell_table::job;
     case load_part::progress:
-        scan.table = cell_table::progress;
-        break;
+        return cell_table::progress;
     case load_part::ended:
-        scan.table = cell_table::ended;
-        break;
+        return cell_table::ended;
     case load_part::workers:
     case load_part::count:
-        scan.table = context_.outside.worker_table();
         break;
     }
-    loads_.emplace(scan.op, part);
-    context_.out.emplace_back(std::move(scan));
+    return context_.outside.worker_table();
+}
+
+void cell_owner::scan(load_part part, std::string after)
+{
+    loads_.emplace(context_.scan(table_of(part), std::move(after)), part);
 }
 
 void cell_owner::on_loaded(time_point now, load_part part,
@@ -132,18 +127,17 @@
     {
         if (ended_.count(at->first))
         {
-            journal_.write(cell_table::job, at->first, std::nullopt);
-            journal_.write(cell_table::progress, at->first, std::nullopt);
+            discard_rows(at->first);
             at = jobs_.erase(at);
             continue;
         }
         auto& job = *at->second;
         const auto progress = loaded_progress_.find(job.id());
         if (progress != loaded_progress_.end() &&
-            !job.read_progress(progress->second, now))
+            !job.read_progress(progress->second))
             context_.log(log_code::cell_row_unreadable,
                          fmt::format("progress={}", job.id()));
-        job.add_due(context_.unix_ms, now);
+        job.add_due(context_.unix_ms);
         job.mark_unclear();
         set_objective(now, job);
         ++at;
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -191,7 +191,11 @@
         count
     };
 
+    /// Null when the job is not known or has ended.
+    cell_job* find_job(const std::string& id) const;
+
     // Loading (cell_owner_load.cpp).
+    std::string table_of(load_part part) const;
     void scan(load_part part, std::string after);
     void on_loaded(time_point now, load_part part, const store_result& result);
     void load_rows(time_point now, load_part part,
@@ -211,11 +215,14 @@
                std::int64_t retry_after_ms = 0);
     void refuse(time_point now, const reply_address& to, const std::string& job,
                 result_code code, std::int64_t retry_after_ms);
-    void accept(time_point now, const std::string& id);
+    void accept(const std::string& id);
+    /// Callers that wait for the fate of the job's submission.
+    std::vector<reply_address> take_submitters(const std::string& id);
     void refuse_queued(time_point now);
     void follow_store(time_point now);
     void write_dirty(time_point now);
     void finalize(time_point now, cell_job& job);
+    void discard_rows(const std::string& id);
     void on_final(time_point now, const std::string& id, job_phase phase);
     void count_waiting();
     /// Accepted work that goes before `job`, by customer.
@@ -231,6 +238,9 @@
     void on_unlisted(time_point now, const std::string& id);
     std::uint64_t send_call(time_point now, const std::string& agent,
                             worker_call call, pending_call pending);
+    /// Ends calls that get no answer any more.
+    void give_up_calls(time_point now,
+                       const std::function<bool(const pending_call&)>& is_lost);
     std::string agent_for(const cell_worker& worker, unsigned attempt) const;
     /// Longest lease that may be granted now, zero when none may.
     duration lease_left(time_point now) const;
@@ -255,8 +265,7 @@
     void on_end(time_point now, cell_worker& worker, const end_report& end);
     void lose_runs(time_point now, cell_worker& worker, const char* reason);
     void drop_run(time_point now, cell_worker& worker, const run_key& key);
-    void release_task(time_point now, const std::string& worker,
-                      const run_key& key);
+    void release_task(const std::string& worker, const run_key& key);
     void stop_gang(time_point now, cell_job& job, const cell_task_id& member);
     void stop_run(time_point now, cell_worker& worker, const run_key& key);
     void stop_job_runs(time_point now, const std::string& job);
@@ -316,7 +325,6 @@
     std::map<std::string, std::uint64_t> waiting_;
     bool counted_ = false;
     customer_rates rates_;
-    std::uint64_t arrivals_ = 0;
     time_point next_count_;
     time_point next_cleanup_;
 
--- a/src/cell_owner_runs.cpp
+++ b/src/cell_owner_runs.cpp
@@ -92,8 +92,7 @@
 void cell_owner::adopt(time_point now, cell_worker& worker,
                        const running_report& report)
 {
-    const auto found = jobs_.find(report.task.job);
-    auto* job = found == jobs_.end() ? nullptr : found->second.get();
+    auto* job = find_job(report.task.job);
     auto* task = job ? job->find(report.task) : nullptr;
     cell_run run;
     run.state = run_state::running;
@@ -136,8 +135,7 @@
                  fmt::format("task={} run={} worker={} end={} number={}",
                              to_string(end.task), end.run, id,
                              name_of(end.kind), end.number));
-    const auto found = jobs_.find(end.task.job);
-    auto* job = found == jobs_.end() ? nullptr : found->second.get();
+    auto* job = find_job(end.task.job);
     auto* task = job ? job->find(end.task) : nullptr;
     workers_.remove_run(worker, key);
     if (!task || is_final(job->phase()))
@@ -152,7 +150,7 @@
         dirty_.insert(job->id());
         return;
     }
-    release_task(now, id, key);
+    release_task(id, key);
     const auto& spec = job->spec().steps[end.task.step];
     if (end.kind == end_kind::failed)
     {
@@ -169,21 +167,19 @@
         stop_gang(now, *job, end.task);
 }
 
-void cell_owner::release_task(time_point now, const std::string& worker,
-                              const run_key& key)
+void cell_owner::release_task(const std::string& worker, const run_key& key)
 {
-    const auto found = jobs_.find(key.first.job);
-    if (found == jobs_.end())
+    auto* job = find_job(key.first.job);
+    if (!job)
         return;
-    auto* task = found->second->find(key.first);
-    auto* step = found->second->find_step(key.first.occurrence, key.first.step);
+    auto* task = job->find(key.first);
+    auto* step = job->find_step(key.first.occurrence, key.first.step);
     if (!task || task->worker != worker || task->run != key.second ||
         (task->state != cell_task_state::starting &&
          task->state != cell_task_state::running))
         return;
     task->state = cell_task_state::waiting;
     --step->active;
-    step->ready_since = now;
     dispatch_due_ = true;
 }
 
@@ -193,13 +189,12 @@
     const auto* run = worker.find(key);
     if (!run)
         return;
-    const auto found = jobs_.find(key.first.job);
-    auto* job = found == jobs_.end() ? nullptr : found->second.get();
+    auto* job = find_job(key.first.job);
     auto* task = job ? job->find(key.first) : nullptr;
     if (task && !run->checkpoint.empty())
         task->checkpoint = run->checkpoint;
     workers_.remove_run(worker, key);
-    release_task(now, worker.report().id, key);
+    release_task(worker.report().id, key);
     if (task && job->spec().steps[key.first.step].gang)
         stop_gang(now, *job, key.first);
 }
@@ -288,9 +283,7 @@
         return;
     if (!unresolved_.empty())
     {
-        const auto longest = config::cell_worker_lease *
-                             (100 + 2 * config::cell_clock_drift_percent) / 100;
-        if (now < claimed_at_ + longest)
+        if (now < claimed_at_ + config::cell_worker_lease_most)
             return;
         context_.log(log_code::cell_workers_unresolved,
                      fmt::format("count={} first={}", unresolved_.size(),
@@ -326,15 +319,13 @@
     auto* run = worker.find(pending.key);
     if (!run)
         return;
+    auto* job = find_job(pending.key.first.job);
     if (answer.status == order_status::ok)
     {
         worker.silent_starts = 0;
         run->state = run_state::running;
         run->seen_at = now;
-        const auto found = jobs_.find(pending.key.first.job);
-        auto* task = found == jobs_.end()
-                         ? nullptr
-                         : found->second->find(pending.key.first);
+        auto* task = job ? job->find(pending.key.first) : nullptr;
         if (task && task->worker == pending.worker &&
             task->run == pending.key.second &&
             task->state == cell_task_state::starting)
@@ -350,7 +341,7 @@
                              pending.agent));
     const bool is_unknown = answer.status == order_status::unknown;
     if (is_unknown && pending.attempt + 1 < config::cell_start_attempts &&
-        !run->stop_wanted && jobs_.count(pending.key.first.job) > 0 &&
+        !run->stop_wanted && job &&
         lease_left(now) >= duration(config::cell_start_timeout))
     {
         send_start(now, worker, pending.key, pending.ticket,
@@ -369,10 +360,8 @@
                                      config::cell_silent_pause_most);
         // The others of a gang would wait in vain; a stop settles this run
         // sooner than the next list.
-        const auto found = jobs_.find(pending.key.first.job);
-        if (found != jobs_.end() &&
-            found->second->spec().steps[pending.key.first.step].gang)
-            stop_gang(now, *found->second, pending.key.first);
+        if (job && job->spec().steps[pending.key.first.step].gang)
+            stop_gang(now, *job, pending.key.first);
         return;
     }
     if (answer.status == order_status::no_room ||
@@ -381,14 +370,10 @@
             std::max(worker.avoid_until, now + config::cell_refusal_pause);
     if (answer.status == order_status::unhealthy)
         note_failure(now, worker, pending.key.first.job);
-    if (answer.status == order_status::bad_ticket)
+    if (answer.status == order_status::bad_ticket && job)
     {
-        const auto found = jobs_.find(pending.key.first.job);
-        auto* step =
-            found == jobs_.end()
-                ? nullptr
-                : found->second->find_step(pending.key.first.occurrence,
-                                           pending.key.first.step);
+        auto* step = job->find_step(pending.key.first.occurrence,
+                                    pending.key.first.step);
         if (step)
             step->advice.by_worker[worker.number()].valid_until = {};
     }
@@ -430,7 +415,7 @@
     run->next_stop = now + config::cell_stop_retry;
     if (answer.status == order_status::ok)
     {
-        run->next_stop = now + std::chrono::seconds(2);
+        run->next_stop = now + config::cell_stop_patience;
         // A run that is not there is refused from now on; the next list that
         // was asked for later shows whether it was.
         if (run->state == run_state::unclear)
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -30,13 +30,8 @@
         scan(load_part::workers, "");
         return;
     }
-    store_watch watch;
-    watch.op = context_.next_op();
-    watch.table = context_.outside.worker_table();
-    watch.after = worker_version_;
-    watch.wait_ms = config::cell_watch_wait.count();
-    worker_watch_ = watch.op;
-    context_.out.emplace_back(std::move(watch));
+    worker_watch_ =
+        context_.watch(context_.outside.worker_table(), worker_version_);
 }
 
 bool cell_owner::on_watch(time_point now, const watch_result& result)
@@ -195,6 +190,21 @@
     }
 }
 
+void cell_owner::give_up_calls(
+    time_point now, const std::function<bool(const pending_call&)>& is_lost)
+{
+    std::vector<std::uint64_t> lost;
+    for (const auto& [id, call] : calls_)
+        if (is_lost(call))
+            lost.push_back(id);
+    for (const auto id : lost)
+    {
+        worker_answer none;
+        none.id = id;
+        on_answer(now, none);
+    }
+}
+
 // --------------------------------------------------------------------- holds
 
 /// A later owner waits for the longest lease from its claim on. The claim is
--- a/src/cell_types.cpp
+++ b/src/cell_types.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 #include <fmt/format.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 namespace carobcourse
 {
@@ -62,4 +64,11 @@
     return std::nullopt;
 }
 
+std::uint64_t step_key_of(const std::string& job, std::uint32_t occurrence,
+                          std::uint32_t step)
+{
+    const auto name = fmt::format("{}.{}.{}", job, occurrence, step);
+    return XXH64(name.data(), name.size(), 0);
+}
+
 } // namespace carobcourse
--- a/src/cell_types_p.hpp
+++ b/src/cell_types_p.hpp
@@ -186,8 +186,13 @@
     cancelled
 };
 
+/// Names a step of an occurrence for counting.
+std::uint64_t step_key_of(const std::string& job, std::uint32_t occurrence,
+                          std::uint32_t step);
+
 const char* to_string(job_phase phase);
-/// Name in logs: job, occurrence, step and index, with points between.
+/// Name in logs and at the workers: job, occurrence, step and index, joined by
+/// dots.
 std::string to_string(const cell_task_id& task);
 /// Returns nothing for an unknown name.
 std::optional<job_phase> job_phase_from(const std::string& name);
--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -1,9 +1,6 @@
 #include "cell_workers_p.hpp"
 
 #include <algorithm>
-#include <fmt/format.h>
-#define XXH_INLINE_ALL
-#include <xxhash.h>
 
 #include "cell_limits_p.hpp"
 
@@ -50,9 +47,7 @@
 time_point cell_worker::lease_over() const
 {
     if (clock_ms_ < 0 || lease_ms_ == 0)
-        return first_seen + config::cell_worker_lease *
-                                (100 + 2 * config::cell_clock_drift_percent) /
-                                100;
+        return first_seen + config::cell_worker_lease_most;
     const auto left = std::max<std::int64_t>(0, lease_ms_ - clock_ms_);
     return clock_read_ +
            std::chrono::milliseconds(
@@ -109,11 +104,4 @@
     return found == usage_.end() ? resources{} : found->second;
 }
 
-std::uint64_t step_key_of(const std::string& job, std::uint32_t occurrence,
-                          std::uint32_t step)
-{
-    const auto name = fmt::format("{}.{}.{}", job, occurrence, step);
-    return XXH64(name.data(), name.size(), 0);
-}
-
 } // namespace carobcourse
--- a/src/cell_workers_p.hpp
+++ b/src/cell_workers_p.hpp
@@ -169,8 +169,4 @@
     std::map<std::string, resources> usage_;
 };
 
-/// Names a step of an occurrence for counting.
-std::uint64_t step_key_of(const std::string& job, std::uint32_t occurrence,
-                          std::uint32_t step);
-
 } // namespace carobcourse
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -951,4 +951,19 @@
     std::vector<watcher> watchers_;
 };
 
+/// A world whose cell has an owner. Tasks take 800 ms.
+struct settled_cell : cell_world
+{
+    explicit settled_cell(std::size_t hosts = 3, std::size_t workers = 4)
+        : cell_world(hosts, workers)
+    {
+        plan = [](const cell_task_id&, std::uint32_t) {
+            return fake_run{time_point(milliseconds(800)), end_kind::done, {}};
+        };
+        REQUIRE(
+            run_until(milliseconds(3000), [this] { return !owner().empty(); }));
+        run(milliseconds(500));
+    }
+};
+
 } // namespace cell_test
--- a/tests/test_cell_job.cpp
+++ b/tests/test_cell_job.cpp
@@ -21,7 +21,7 @@
 cell_job job_with(work_spec work)
 {
     cell_job job("0000000000000001", "c", "q", std::move(work), 5, 3);
-    job.add_due(10, time_point());
+    job.add_due(10);
     return job;
 }
 
@@ -56,11 +56,11 @@
     REQUIRE(copy);
     CHECK(copy->spec() == job.spec());
     CHECK(copy->accepted_epoch() == 3);
-    REQUIRE(copy->read_progress(job.progress_text(), time_point()));
+    REQUIRE(copy->read_progress(job.progress_text()));
     CHECK(copy->find({job.id(), 0, 0, 0})->state == cell_task_state::done);
     CHECK_FALSE(copy->mark_failed({job.id(), 0, 0, 1}, 7, 2));
     CHECK(copy->mark_failed({job.id(), 0, 0, 1}, 8, 2));
-    CHECK_FALSE(copy->read_progress("{", time_point()));
+    CHECK_FALSE(copy->read_progress("{"));
     CHECK(cell_job::from_text("x", "no json") == nullptr);
 }
 
@@ -79,16 +79,16 @@
     work.first_due_ms = 1000;
     work.interval_ms = 500;
     cell_job job("0000000000000001", "c", "q", work, 5, 1);
-    job.add_due(999, time_point());
+    job.add_due(999);
     CHECK(job.occurrences().empty());
-    job.add_due(1500, time_point());
+    job.add_due(1500);
     CHECK(job.occurrences().size() == 2);
     CHECK(job.next_due_ms() == 2000);
     for (std::uint32_t k = 0; k < 2; ++k)
         for (std::uint32_t i = 0; i < 2; ++i)
             job.mark_done({job.id(), k, 0, i});
     CHECK(job.phase() != job_phase::completed);
-    job.add_due(9000, time_point());
+    job.add_due(9000);
     for (std::uint32_t i = 0; i < 2; ++i)
         job.mark_done({job.id(), 2, 0, i});
     CHECK(job.phase() == job_phase::completed);
--- a/tests/test_cell_lost_answers.cpp
+++ b/tests/test_cell_lost_answers.cpp
@@ -6,17 +6,11 @@
 namespace
 {
 
-struct small_cell : cell_world
+struct small_cell : settled_cell
 {
     explicit small_cell(std::size_t hosts = 3, std::size_t workers = 1)
-        : cell_world(hosts, workers)
+        : settled_cell(hosts, workers)
     {
-        plan = [](const cell_task_id&, std::uint32_t) {
-            return fake_run{time_point(milliseconds(800)), end_kind::done, {}};
-        };
-        REQUIRE(
-            run_until(milliseconds(3000), [this] { return !owner().empty(); }));
-        run(milliseconds(500));
     }
     bool is_started(unsigned job) const
     {
--- a/tests/test_cell_recovery.cpp
+++ b/tests/test_cell_recovery.cpp
@@ -6,18 +6,10 @@
 namespace
 {
 
-struct running_cell : cell_world
+struct running_cell : settled_cell
 {
-    explicit running_cell(std::size_t hosts = 3, std::size_t workers = 4)
-        : cell_world(hosts, workers)
-    {
-        plan = [](const cell_task_id&, std::uint32_t) {
-            return fake_run{time_point(milliseconds(800)), end_kind::done, {}};
-        };
-        REQUIRE(
-            run_until(milliseconds(3000), [this] { return !owner().empty(); }));
-        run(milliseconds(500));
-    }
+    using settled_cell::settled_cell;
+
     std::string other_than_owner() const
     {
         const auto own = owner();
