--- a/src/cell_limits_p.hpp
+++ b/src/cell_limits_p.hpp
@@ -86,6 +86,9 @@
 
 // Cell: workers.
 
+/// Largest amount of one resource that a worker may report. Sums over all
+/// workers stay far below the range of the type.
+constexpr std::int64_t cell_max_worker_amount = 1'000'000'000;
 /// Longest lease that a worker accepts.
 constexpr auto cell_max_worker_lease = 6000ms;
 /// Maximum error of the rate of a worker's clock, in percent.
@@ -107,6 +110,9 @@
 /// which a lost answer hides the end of a task; a shorter wait means more
 /// calls, each of which is billed.
 constexpr auto cell_poll_wait = 500ms;
+/// In a large cell the wait is this long for each worker, so that the rate of
+/// polls without news does not grow with the cell.
+constexpr auto cell_poll_wait_per_worker = 1ms;
 /// Maximum wait of a long poll of a worker that runs no task.
 constexpr auto cell_idle_poll_wait = 1000ms;
 /// Time allowed for the answer to a poll in addition to its wait.
@@ -152,6 +158,9 @@
 constexpr auto cell_retry_after = 1000ms;
 /// Time for which the phase of an ended job stays available.
 constexpr auto cell_ended_job_retention = 150s;
+/// The owner refuses new jobs while its batches of events take longer than
+/// this on average. Urgent work that waits longer misses its objective.
+constexpr auto cell_max_owner_lag = 250ms;
 /// Maximum number of jobs that have not ended.
 constexpr std::size_t cell_max_jobs = 20000;
 /// Time for which the owner remembers a refused submission. Longer than a copy
--- a/tests/test_platform_codec.cpp
+++ b/tests/test_platform_codec.cpp
@@ -41,14 +41,39 @@
 {
     const platform_rows rows;
     const std::string odd_state =
-        R"({"service":"s","address":"a","zone":"z","state":"odd",)"
+        R"({"service":"s","address":"a:1","zone":"z","state":"odd",)"
         R"("capacity":{"cpu":1}})";
+    const auto worker_at =
+        [](const std::string& address, const std::string& capacity)
+    {
+        return R"({"service":"s","address":")" + address +
+               R"(","zone":"z","state":"ready","capacity":)" + capacity + "}";
+    };
+    REQUIRE(rows.read_worker("i-1", worker_at("a:1", R"({"cpu":1})")));
+    const std::string deep(30000, '[');
     for (const std::string& bad :
-         {std::string(), std::string("\xff\xfe"), std::string("7"),
-          std::string("{}"), std::string(R"({"service":1,"address":"a"})"),
+         {std::string(),
+          std::string("\xff\xfe"),
+          std::string("7"),
+          std::string("{}"),
+          std::string(R"({"service":1,"address":"a"})"),
           odd_state,
           std::string(
-              R"({"service":"s","address":"a","zone":"z","state":"ready"})")})
+              R"({"service":"s","address":"a:1","zone":"z","state":"ready"})"),
+          worker_at("a:70000", R"({"cpu":1})"),
+          worker_at("a:0", R"({"cpu":1})"),
+          worker_at("a:-1", R"({"cpu":1})"),
+          worker_at("a", R"({"cpu":1})"),
+          worker_at("a:1", R"({"cpu":1e300})"),
+          worker_at("a:1", R"({"cpu":18446744073709551615})"),
+          worker_at("a:1", R"({"cpu":9223372036854775807})"),
+          worker_at("a:1", R"({"cpu":1e999})"),
+          worker_at("a:1", R"({"cpu":-1})"),
+          worker_at("a:1", R"({"cpu":"1"})"),
+          worker_at("a:1", deep),
+          worker_at("a:1", deep + std::string(30000, ']')),
+          deep,
+          deep + std::string(30000, ']')})
     {
         INFO(bad);
         CHECK_FALSE(rows.read_worker("i-1", bad));
