Close holes around takeovers and cut the owner's cost in a large cell

It refuses new jobs while its batches take over 250 ms; calls are repeated after times that double; polls of a busy worker wait up to 1 s in a cell of 1,000 workers.

--- a/src/cell_election.cpp
+++ b/src/cell_election.cpp
@@ -44,7 +44,7 @@
         claim_at_.reset();
 }
 
-void cell_election::on_link_lost(const std::string& host)
+void cell_election::on_owner_gone(const std::string& host)
 {
     if (host != owner_)
         return;
--- a/src/cell_election_p.hpp
+++ b/src/cell_election_p.hpp
@@ -40,9 +40,9 @@
     void on_heartbeat(time_point now, std::uint64_t epoch,
                       const std::string& host, const std::string& address,
                       bool store_ok);
-    /// Takes note that the connection to `host` has broken. If it is the owner,
-    /// its row is read at once.
-    void on_link_lost(const std::string& host);
+    /// Takes note that the connection to `host` has broken, or that it has
+    /// released the cell. If it is the owner, its row is read at once.
+    void on_owner_gone(const std::string& host);
     /// Returns the operation that is due. After `read` or `claim` it returns
     /// `none` until the caller passes the result to `on_read`,
     /// `on_read_failed` or `on_claim_result`.
--- a/src/cell_frontend.cpp
+++ b/src/cell_frontend.cpp
@@ -15,7 +15,8 @@
 
 using json = nlohmann::json;
 
-/// Interval at which a call without an answer is sent to the owner again.
+/// Time after which a call without an answer is sent to the owner again; it
+/// doubles with each repetition, so that a busy owner is not flooded.
 constexpr auto resend_period = std::chrono::milliseconds(600);
 /// Older counts of waiting jobs are not shown to callers.
 constexpr auto max_waiting_count_age = std::chrono::milliseconds(2000);
@@ -247,7 +248,7 @@
                                                : result_code::owner_unknown);
         else if (now >= call.next_send_at)
         {
-            call.next_send_at = now + resend_period;
+            call.next_send_at = now + (now - call.received_at);
             send(call, send_to_owner);
         }
     }
--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -57,15 +57,34 @@
 cell_effects cell_host::handle(time_point now,
                                const std::vector<cell_event>& events)
 {
+    if (owner_)
+        owner_->record_batch_time(now - last_handled_at_);
+    last_handled_at_ = now;
     for (const auto& event : events)
-        std::visit([&](const auto& each) { on_event(now, each); }, event);
+    {
+        // The last line of defence against input that no decoder refused: the
+        // event is dropped, the process goes on.
+        try
+        {
+            std::visit([&](const auto& each) { on_event(now, each); }, event);
+        }
+        catch (const std::exception& e)
+        {
+            context_.counters.count("carobcourse_events_failed_total");
+            context_.log(log_code::cell_event_failed,
+                         fmt::format("event={} {}", event.index(), e.what()));
+        }
+    }
     if (owner_)
     {
         owner_->finish_batch(now);
         if (owner_->has_lost_ownership())
             lose_ownership(now, "another host has claimed the cell");
         else if (owner_->is_released())
+        {
+            announce_release();
             lose_ownership(now, "released");
+        }
     }
     for (const auto& item : std::exchange(local_answers_, {}))
         frontend_.on_answer(now, context_.identity.host, item);
@@ -240,7 +259,7 @@
         frontend_.resend(make_owner_sender(now));
     }
     else
-        election_.on_link_lost(state.host);
+        election_.on_owner_gone(state.host);
 }
 
 void cell_host::on_event(time_point, const peer_refusals& refusals)
@@ -320,6 +339,14 @@
     const auto kind = item.at("k").get<std::string>();
     if (kind == "heartbeat")
         on_heartbeat(now, from, item);
+    else if (kind == "released")
+    {
+        if (!owner_ && item.at("e").get<std::uint64_t>() == election_.epoch())
+        {
+            election_.on_owner_gone(from);
+            run_election(now);
+        }
+    }
     else if (kind == "ack")
     {
         const auto found = members_.find(from);
@@ -332,6 +359,14 @@
     else if (kind == "call")
     {
         auto call = worker_call_from_json(item.at("v"));
+        if (call.epoch < election_.epoch())
+        {
+            worker_answer refusal;
+            refusal.id = call.id;
+            refusal.status = command_status::fenced;
+            post(from, {{"k", "reply"}, {"v", to_json(refusal)}});
+            return;
+        }
         const auto id = context_.next_call_id();
         relayed_calls_[id] = {from, call.id};
         call.id = id;
@@ -352,8 +387,14 @@
                              const json& item)
 {
     const auto epoch = item.at("e").get<std::uint64_t>();
-    if (owner_ || epoch < election_.epoch())
+    if (epoch < election_.epoch())
         return;
+    if (owner_)
+    {
+        if (epoch == election_.epoch())
+            return;
+        lose_ownership(now, "heartbeat of a later owner");
+    }
     election_.on_heartbeat(now, epoch, from, item.at("a").get<std::string>(),
                            item.at("ok").get<bool>());
     if (item.contains("w"))
@@ -417,6 +458,15 @@
     frontend_.resend(make_owner_sender(now));
 }
 
+/// Tells the other hosts that the cell has no owner, so that one of them claims
+/// it before the heartbeats are missed.
+void cell_host::announce_release()
+{
+    for (const auto& [host, member] : members_)
+        if (member.connected)
+            post(host, {{"k", "released"}, {"e", election_.epoch()}});
+}
+
 void cell_host::lose_ownership(time_point now, const char* reason)
 {
     context_.log(
--- a/src/cell_host_members.cpp
+++ b/src/cell_host_members.cpp
@@ -111,12 +111,26 @@
     for (const auto& row : result.rows)
     {
         const auto value = json::parse(row.value, nullptr, false);
-        if (!value.is_object() || row.key == context_.identity.host)
+        if (row.key == context_.identity.host)
             continue;
+        const auto text_of = [&value](const char* name)
+        {
+            const auto found = value.find(name);
+            return found != value.end() && found->is_string()
+                       ? found->get<std::string>()
+                       : std::string();
+        };
+        const auto address = text_of("address");
+        if (address.empty())
+        {
+            context_.log(log_code::cell_row_unreadable,
+                         fmt::format("member={}", row.key));
+            continue;
+        }
         listed_hosts.insert(row.key);
         auto& member = members_[row.key];
-        member.address = value.value("address", std::string());
-        member.data_centre = value.value("data_centre", std::string());
+        member.address = address;
+        member.data_centre = text_of("data_centre");
     }
     for (auto at = members_.begin(); at != members_.end();)
         at = listed_hosts.count(at->first) ? std::next(at) : members_.erase(at);
--- a/src/cell_host_p.hpp
+++ b/src/cell_host_p.hpp
@@ -104,6 +104,7 @@
     void run_election(time_point now);
     /// `version` is that of the owner row that the claim has written.
     void become_owner(time_point now, std::uint64_t version);
+    void announce_release();
     void lose_ownership(time_point now, const char* reason);
     /// Reads the secret that the hosts share from the store.
     void fetch_secret(time_point now);
@@ -152,6 +153,7 @@
     std::optional<op_id> member_op_;
     bool registered_ = false;
     time_point next_member_op_at_;
+    time_point last_handled_at_;
     time_point next_heartbeat_at_;
     /// Owner whose heartbeats this host answers; empty when there is none.
     std::string followed_owner_;
--- a/src/cell_order_p.hpp
+++ b/src/cell_order_p.hpp
@@ -105,6 +105,7 @@
     bool excess = false;
     bool store_failing = false; ///< The store does not take commits.
     std::size_t jobs = 0;       ///< Jobs that the owner already has.
+    duration lag{};     ///< Average time that the owner takes for its events.
     double wait_ms = 0; ///< Estimated time until the first task can start.
 };
 
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -13,10 +13,13 @@
 {
 
 using json = nlohmann::json;
+using std::chrono::milliseconds;
 
 constexpr double millis_per_core = 1000;
 
 constexpr auto waiting_count_interval = std::chrono::milliseconds(200);
+/// A submission does not pass over all workers when another one just did.
+constexpr auto usable_cores_validity = std::chrono::milliseconds(50);
 constexpr auto cleanup_interval = std::chrono::seconds(5);
 /// Limits the rows of ended jobs that one cleanup removes.
 constexpr std::size_t max_rows_per_cleanup = 300;
@@ -160,9 +163,10 @@
     input.critical_path_ms = job->critical_path_ms();
     input.excess = job->excess;
     input.store_failing = store_failing_;
+    input.lag = lag_;
     input.jobs = jobs_.size();
-    input.wait_ms =
-        expected_wait_ms(backlogs_before(now, *job), customer, usable_cores());
+    input.wait_ms = expected_wait_ms(backlogs_before(now, *job), customer,
+                                     usable_cores(now));
     const auto admitted = admit(input);
     if (admitted.code != result_code::ok)
     {
@@ -170,10 +174,10 @@
         context_.log(
             log_code::cell_job_refused,
             fmt::format("job={} queue={} customer={} code={} excess={} "
-                        "jobs={} wait_ms={:.0f} chain_ms={}",
+                        "jobs={} wait_ms={:.0f} chain_ms={} lag_ms={}",
                         id, queue_name, customer, to_string(admitted.code),
                         input.excess, input.jobs, input.wait_ms,
-                        input.critical_path_ms));
+                        input.critical_path_ms, lag_ / milliseconds(1)));
         refuse(now, from, id, admitted.code, admitted.retry_after_ms);
         return;
     }
@@ -298,8 +302,11 @@
     return result;
 }
 
-double cell_owner::usable_cores() const
+double cell_owner::usable_cores(time_point now)
 {
+    if (now < usable_cores_expire_at_)
+        return usable_cores_;
+    usable_cores_expire_at_ = now + usable_cores_validity;
     std::int64_t millis = 0;
     for (const auto& [id, worker] : workers_.all())
     {
@@ -308,7 +315,8 @@
             context_.evacuated_data_centres.count(report.data_centre) == 0)
             millis += report.capacity.cpu_millis;
     }
-    return static_cast<double>(millis) / millis_per_core;
+    usable_cores_ = static_cast<double>(millis) / millis_per_core;
+    return usable_cores_;
 }
 
 // ---------------------------------------------------------------- durability
@@ -351,11 +359,11 @@
                                  context_.wall_clock_ms -
                                      found->second->accepted_unix_ms(),
                                  row().epoch));
+        stop_job_runs(now, *found->second);
         jobs_.erase(found);
     }
     for (const auto& each : take_submitters(id))
         reply(each, result_code::ok);
-    stop_job_runs(now, id);
     dispatch_due_ = true;
 }
 
@@ -495,12 +503,24 @@
     relays_ = std::move(relays);
     std::set<std::string> hosts;
     std::vector<std::string> advice_hosts;
+    relay_groups_.clear();
+    all_relays_.clear();
     for (const auto& relay : relays_)
     {
         hosts.insert(relay.host);
-        if (!relay.leaving)
-            advice_hosts.push_back(relay.host);
+        if (relay.leaving)
+            continue;
+        advice_hosts.push_back(relay.host);
+        if (relay.host == context_.identity.host)
+            continue;
+        all_relays_.push_back(relay.host);
+        relay_groups_[relay.data_centre].inside.push_back(relay.host);
     }
+    for (auto& [data_centre, group] : relay_groups_)
+        for (const auto& relay : relays_)
+            if (relay.host != context_.identity.host && !relay.leaving &&
+                relay.data_centre != data_centre)
+                group.outside.push_back(relay.host);
     advice_hosts_.set_hosts(std::move(advice_hosts));
     fail_calls(now, [&hosts](const pending_call& call)
                { return hosts.count(call.relay) == 0; });
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <optional>
 #include <random>
 
 #include "cell_limits_p.hpp"
@@ -103,6 +104,7 @@
         return;
     auto ready = find_ready_steps(now);
     update_eligible_workers(now);
+    update_unresolved_usage();
     const auto items = static_cast<int>(ready.size() + eligible_.all.size());
     next_dispatch_ = now + dispatch_delay_per_item *
                                std::max(0, items - max_undelayed_items);
@@ -148,6 +150,48 @@
     }
 }
 
+/// After a takeover a worker may run tasks of an earlier owner that it has not
+/// reported yet. Until then all unresolved tasks of a customer count as
+/// running, as far as the unresolved workers have room for them.
+void cell_owner::update_unresolved_usage()
+{
+    unresolved_usage_.clear();
+    if (!has_unresolved_tasks_)
+        return;
+    resources room;
+    bool is_room_known = true;
+    for (const auto& id : unresolved_workers_)
+    {
+        const auto* worker = workers_.find(id);
+        is_room_known = is_room_known && worker;
+        if (worker)
+            room += worker->report().capacity;
+    }
+    for (const auto& [id, job] : jobs_)
+    {
+        auto& used = unresolved_usage_[job->customer()];
+        for (const auto& [number, occurrence] : job->occurrences())
+        {
+            for (std::size_t s = 0; s < occurrence.steps.size(); ++s)
+            {
+                const auto& tasks = occurrence.steps[s].tasks;
+                used += job->spec().steps[s].amount *
+                        std::count_if(tasks.begin(), tasks.end(),
+                                      [](const cell_task& task) {
+                                          return task.state ==
+                                                 cell_task_state::unresolved;
+                                      });
+            }
+        }
+    }
+    if (!is_room_known)
+        return;
+    for (auto& [customer, used] : unresolved_usage_)
+        used = {std::min(used.cpu_millis, room.cpu_millis),
+                std::min(used.memory_mb, room.memory_mb),
+                std::min(used.accelerators, room.accelerators)};
+}
+
 bool cell_owner::is_reserved_for_other(worker_number worker,
                                        std::uint64_t step_key) const
 {
@@ -201,7 +245,10 @@
         context_.config->find_customer_by_name(job.customer());
     if (!customer)
         return true;
-    const auto used = workers_.usage_of(job.customer()) + more;
+    auto used = workers_.usage_of(job.customer()) + more;
+    const auto unresolved = unresolved_usage_.find(job.customer());
+    if (unresolved != unresolved_usage_.end())
+        used += unresolved->second;
     const auto over = [](std::int64_t amount, std::int64_t limit)
     { return limit > 0 && amount > limit; };
     return !over(used.cpu_millis, customer->limit.cpu_millis) &&
@@ -239,11 +286,14 @@
             std::chrono::milliseconds(std::max<std::int64_t>(
                 0, context_.wall_clock_ms - job.accepted_unix_ms())));
     }
+    const auto used = workers_.usage_of(job.customer());
     context_.log(log_code::cell_task_started,
                  fmt::format("task={} run={} worker={} room_cpu={} "
-                             "room_memory_mb={} config={} epoch={}",
+                             "room_memory_mb={} customer={} used_cpu={} "
+                             "used_memory_mb={} config={} epoch={}",
                              to_string(id), run, target.report().id,
                              target.room().cpu_millis, target.room().memory_mb,
+                             job.customer(), used.cpu_millis, used.memory_mb,
                              context_.config->version(), row().epoch));
     send_start(now, target, {id, run}, ticket, 0);
 }
@@ -458,67 +508,79 @@
         const cell_worker* worker;
         std::uint32_t task_capacity;
         bool reserved;
-        std::uint64_t rank;
     };
     std::vector<worker_option> expired;
     std::vector<worker_option> unknown;
+    std::vector<worker_option> reserved_unknown;
     std::uint32_t expired_capacity = 0;
-    for (const auto* candidate : eligible_.all)
+    // Returns nothing when the worker can not be used for the step.
+    const auto option_for =
+        [&](const cell_worker& worker) -> std::optional<worker_option>
     {
-        const auto& worker = *candidate;
         if (!meets_requirements(worker, ready.queue->service, spec))
-            continue;
-        const bool reserved =
-            is_reserved_for_other(worker.number(), ready.step_key);
-        if (reserved && !urgent && !spec.gang)
-            continue;
+            return std::nullopt;
         const auto& room = spec.gang ? worker.report().capacity : worker.room();
         const auto task_capacity =
             tasks_that_fit(room, spec, worker.runs_of_step(ready.step_key));
         if (task_capacity == 0)
-            continue;
-        const auto worker_advice = step->advice.by_worker.find(worker.number());
-        const worker_option each{&worker, task_capacity, reserved,
-                                 context_.random()};
-        if (worker_advice == step->advice.by_worker.end())
-            unknown.push_back(each);
-        else if (worker_advice->second.allowed &&
-                 now + min_ticket_validity >= worker_advice->second.valid_until)
-        {
-            expired.push_back(each);
-            expired_capacity += task_capacity;
-        }
-    }
+            return std::nullopt;
+        const bool reserved =
+            is_reserved_for_other(worker.number(), ready.step_key);
+        if (reserved && !urgent && !spec.gang)
+            return std::nullopt;
+        return worker_option{&worker, task_capacity, reserved};
+    };
     const auto& cost = *ready.queue->advice;
     std::size_t max_workers = max_workers_per_call;
     if (spec.gang && cost.call_ms > long_call_ms)
         max_workers = max_workers_per_gang_call;
     else if (ready.queue->priority == 0)
         max_workers = max_workers_per_short_call;
-    if (spec.gang)
+    // A gang asks again for a worker that it knows only once it has room on its
+    // workers; see `place_gang` and `workers_to_renew`.
+    if (!spec.gang)
     {
-        // A gang asks again for a worker that it knows only once it has room on
-        // its workers; see `place_gang` and `workers_to_renew`.
-        std::sort(unknown.begin(), unknown.end(),
-                  [](const worker_option& a, const worker_option& b) {
-                      return a.worker->room().cpu_millis >
-                             b.worker->room().cpu_millis;
-                  });
-        expired.clear();
+        for (const auto& [number, worker_advice] : step->advice.by_worker)
+        {
+            if (!worker_advice.allowed ||
+                now + min_ticket_validity < worker_advice.valid_until ||
+                number >= eligible_.by_number.size() ||
+                !eligible_.by_number[number])
+                continue;
+            if (const auto option = option_for(*eligible_.by_number[number]))
+            {
+                expired.push_back(*option);
+                expired_capacity += option->task_capacity;
+            }
+        }
     }
-    else
+    // No further advice is needed when the workers with expired tickets have
+    // enough room.
+    if (spec.gang || expired_capacity < ready.waiting_tasks)
     {
+        // Small steps take the first workers from a random one on, so that the
+        // cost does not grow with the cell.
+        const auto count = eligible_.all.size();
+        const auto first = count > 0 ? context_.random() % count : 0;
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            if (!spec.gang && unknown.size() >= max_workers)
+                break;
+            const auto& worker = *eligible_.all[(first + i) % count];
+            if (step->advice.by_worker.count(worker.number()) > 0)
+                continue;
+            if (const auto option = option_for(worker))
+                (option->reserved && !spec.gang ? reserved_unknown : unknown)
+                    .push_back(*option);
+        }
+    }
+    if (spec.gang)
         std::sort(unknown.begin(), unknown.end(),
                   [](const worker_option& a, const worker_option& b) {
-                      return std::tie(a.reserved, a.rank) <
-                             std::tie(b.reserved, b.rank);
+                      return a.worker->room().cpu_millis >
+                             b.worker->room().cpu_millis;
                   });
-        // No further advice is needed when the workers with expired tickets
-        // have enough room.
-        if (expired_capacity >= ready.waiting_tasks)
-            unknown.clear();
-    }
-    for (const auto* list : {&expired, &unknown})
+    for (const auto* list : {&expired, &unknown, &reserved_unknown})
         for (const auto& each : *list)
             if (result.size() < max_workers)
                 result.push_back(each.worker->report().id);
--- a/src/cell_owner_load.cpp
+++ b/src/cell_owner_load.cpp
@@ -78,6 +78,13 @@
                            const std::vector<carobcourse::row>& rows)
 {
     for (const auto& row : rows)
+        load_row(now, table, row);
+}
+
+void cell_owner::load_row(time_point now, state_table table,
+                          const carobcourse::row& row)
+{
+    try
     {
         const auto value = json::parse(row.value, nullptr, false);
         switch (table)
@@ -120,6 +127,12 @@
             break;
         }
     }
+    catch (const json::exception& e)
+    {
+        context_.log(
+            log_code::cell_row_unreadable,
+            fmt::format("table={} key={} {}", row.table, row.key, e.what()));
+    }
 }
 
 void cell_owner::finish_load(time_point now)
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -83,6 +83,12 @@
     /// Sets the entry hosts that can make calls, including this one. Calls
     /// through hosts that are no longer listed end without an answer.
     void set_relays(time_point now, std::vector<call_relay> relays);
+    /// Takes note of the time from one batch of events to the next, which is
+    /// long when the owner has more events than it can handle.
+    void record_batch_time(duration time)
+    {
+        lag_ = (lag_ * (lag_samples - 1) + time) / lag_samples;
+    }
     /// Handles timeouts and periodic work. To be called at each timer tick.
     void tick(time_point now);
     /// Acts on the events since the last call: places tasks, calls workers and
@@ -189,6 +195,13 @@
         std::uint32_t step = 0;
         std::vector<std::string> advised_workers;
     };
+    /// Hosts that can make calls to the workers of one data centre: those in
+    /// it, and all others.
+    struct relay_group
+    {
+        std::vector<std::string> inside;
+        std::vector<std::string> outside;
+    };
     /// Workers kept free for a gang that waits for room.
     struct reservation
     {
@@ -237,6 +250,8 @@
                         const store_result& result);
     void load_rows(time_point now, state_table table,
                    const std::vector<carobcourse::row>& rows);
+    void load_row(time_point now, state_table table,
+                  const carobcourse::row& row);
     void finish_load(time_point now);
     void set_objective(time_point now, cell_job& job);
     void write_leased_workers();
@@ -270,7 +285,7 @@
                                                   const cell_job& job) const;
     /// Returns the number of processor cores of all workers that may get new
     /// tasks.
-    double usable_cores() const;
+    double usable_cores(time_point now);
 
     // The worker list, calls and polls (cell_owner_workers.cpp).
     void watch_workers(time_point now);
@@ -322,7 +337,7 @@
     void requeue_task(const std::string& worker, const run_key& key);
     void stop_gang(time_point now, cell_job& job, const cell_task_id& member);
     void request_stop(time_point now, cell_worker& worker, const run_key& key);
-    void stop_job_runs(time_point now, const std::string& job);
+    void stop_job_runs(time_point now, const cell_job& job);
     void count_worker_failure(time_point now, cell_worker& worker,
                               const std::string& job);
     void release_unresolved_tasks(time_point now);
@@ -331,6 +346,7 @@
     void dispatch(time_point now);
     std::vector<ready_step> find_ready_steps(time_point now);
     void update_eligible_workers(time_point now);
+    void update_unresolved_usage();
     std::vector<placement_candidate> find_candidates(time_point now,
                                                      const ready_step& ready,
                                                      bool with_ticket) const;
@@ -390,6 +406,11 @@
     customer_rate_limiter rate_limiter_;
     time_point next_waiting_count_;
     time_point next_cleanup_;
+    /// Number of batches over which `lag_` is averaged.
+    static constexpr int lag_samples = 4;
+    duration lag_{};
+    double usable_cores_ = 0;
+    time_point usable_cores_expire_at_;
 
     cell_workers workers_;
     std::optional<op_id> worker_watch_;
@@ -406,10 +427,15 @@
     bool has_unresolved_tasks_ = true;
     std::map<std::uint64_t, pending_call> pending_calls_;
     std::vector<call_relay> relays_;
+    /// By data centre; without this host and hosts that are leaving.
+    std::map<std::string, relay_group> relay_groups_;
+    std::vector<std::string> all_relays_;
 
     advice_host_pool advice_hosts_;
     std::map<std::uint64_t, reservation> reservations_;
     eligible_workers eligible_;
+    /// Most resources that unreported runs of each customer may use.
+    std::map<std::string, resources> unresolved_usage_;
     bool dispatch_due_ = false;
     time_point next_dispatch_;
 };
--- a/src/cell_owner_runs.cpp
+++ b/src/cell_owner_runs.cpp
@@ -161,7 +161,7 @@
         job->mark_failed(end.task, end.run, queue ? queue->max_attempts : 1);
         dirty_jobs_.insert(job->id());
         if (is_final(job->phase()))
-            stop_job_runs(now, job->id());
+            stop_job_runs(now, *job);
     }
     if (spec.gang)
         stop_gang(now, *job, end.task);
@@ -248,16 +248,24 @@
     workers_to_update_.insert(worker.report().id);
 }
 
-void cell_owner::stop_job_runs(time_point now, const std::string& job)
+/// A task has one run at most that is not being stopped already: its latest.
+void cell_owner::stop_job_runs(time_point now, const cell_job& job)
 {
-    for (auto& [id, worker] : workers_.all())
+    for (const auto& [number, occurrence] : job.occurrences())
     {
-        std::vector<run_key> keys;
-        for (const auto& [key, run] : worker.runs())
-            if (key.first.job == job)
-                keys.push_back(key);
-        for (const auto& key : keys)
-            request_stop(now, worker, key);
+        for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s)
+        {
+            const auto& tasks = occurrence.steps[s].tasks;
+            for (std::uint32_t i = 0; i < tasks.size(); ++i)
+            {
+                auto* worker = tasks[i].run == 0
+                                   ? nullptr
+                                   : workers_.find(tasks[i].worker);
+                if (worker)
+                    request_stop(now, *worker,
+                                 {{job.id(), number, s, i}, tasks[i].run});
+            }
+        }
     }
 }
 
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -13,6 +13,15 @@
 
 using std::chrono::milliseconds;
 
+/// Load pattern: most polls of a large cell end without news. A longer wait
+/// bounds their rate, at the price of a later repetition of a lost answer.
+milliseconds busy_poll_wait(std::size_t workers)
+{
+    return std::clamp(config::cell_poll_wait_per_worker *
+                          static_cast<std::int64_t>(workers),
+                      config::cell_poll_wait, config::cell_idle_poll_wait);
+}
+
 } // namespace
 
 // ---------------------------------------------------------------- worker list
@@ -110,25 +119,20 @@
     // Prefers hosts in the worker's data centre. The owner makes calls itself
     // only when there is no other host, because its time is needed for
     // scheduling decisions.
-    std::vector<const call_relay*> same_data_centre;
-    std::vector<const call_relay*> others;
-    for (const auto& relay : relays_)
-    {
-        if (relay.host == context_.identity.host || relay.leaving)
-            continue;
-        if (relay.data_centre == worker.report().data_centre)
-            same_data_centre.push_back(&relay);
-        else
-            others.push_back(&relay);
-    }
+    static const relay_group no_relays;
+    const auto found = relay_groups_.find(worker.report().data_centre);
+    const auto& group =
+        found != relay_groups_.end() ? found->second : no_relays;
+    const auto& same_data_centre = group.inside;
+    const auto& others =
+        found != relay_groups_.end() ? group.outside : all_relays_;
     const auto hash = stable_hash(worker.report().id, 0, 0);
     if (!same_data_centre.empty() && attempt % 2 == 0)
-        return same_data_centre[(hash + attempt / 2) % same_data_centre.size()]
-            ->host;
+        return same_data_centre[(hash + attempt / 2) % same_data_centre.size()];
     if (!others.empty() && (attempt > 0 || same_data_centre.empty()))
-        return others[(hash + attempt) % others.size()]->host;
+        return others[(hash + attempt) % others.size()];
     return same_data_centre.empty() ? context_.identity.host
-                                    : same_data_centre.front()->host;
+                                    : same_data_centre.front();
 }
 
 std::uint64_t cell_owner::send_call(time_point now, const std::string& relay,
@@ -153,9 +157,22 @@
     const auto found = pending_calls_.find(answer.id);
     if (found == pending_calls_.end())
         return;
+    if (lost_ownership_)
+        return;
     const auto pending = std::move(found->second);
     pending_calls_.erase(found);
     dispatch_due_ = true;
+    if (answer.status == command_status::fenced)
+    {
+        // Only a later owner raises the epoch of a worker or of a relay.
+        if (!lost_ownership_)
+            context_.log(
+                log_code::cell_fenced,
+                fmt::format("worker={} epoch={}", pending.worker, row().epoch));
+        context_.counters.count("carobcourse_fenced_total");
+        lost_ownership_ = true;
+        return;
+    }
     if (pending.command == worker_command::advise)
     {
         on_advice_answer(now, pending, answer);
@@ -168,15 +185,6 @@
     if (answer.clock_ms >= 0 &&
         answer.status != command_status::other_incarnation)
         worker->update_clock(now, answer.clock_ms);
-    if (answer.status == command_status::fenced)
-    {
-        // A later owner has called the worker. Whether this host has lost the
-        // cell is decided by its next commit to the store.
-        context_.log(
-            log_code::cell_fenced,
-            fmt::format("worker={} epoch={}", pending.worker, row().epoch));
-        context_.counters.count("carobcourse_fenced_total");
-    }
     switch (pending.command)
     {
     case worker_command::poll:
@@ -294,8 +302,9 @@
                            worker.last_seen_end == worker.last_durable_end;
     // The owner learns of no ends on the worker until it notices that an answer
     // is lost, so the wait is shorter while tasks are running.
-    const auto wait = worker.runs().empty() ? config::cell_idle_poll_wait
-                                            : config::cell_poll_wait;
+    const auto wait = worker.runs().empty()
+                          ? config::cell_idle_poll_wait
+                          : busy_poll_wait(workers_.all().size());
     call.wait_ms = long_poll ? wait.count() : 0;
     call.timeout_ms = call.wait_ms + config::cell_poll_timeout.count();
     // The lease of a worker that does not answer is not extended, because its
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -263,6 +263,8 @@
         std::uint64_t generation = 0;
         bool ready = false;
         bool stopped = false;
+        /// Real time that the host has spent on its events.
+        std::chrono::steady_clock::duration handling_time{};
     };
 
     time_point now = time_point(std::chrono::hours(1));
@@ -552,7 +554,9 @@
         if (slot.inbox.empty())
             return;
         const auto events = std::exchange(slot.inbox, {});
+        const auto started = std::chrono::steady_clock::now();
         const auto out = slot.host->handle(now, events);
+        slot.handling_time += std::chrono::steady_clock::now() - started;
         for (const auto& effect : out)
             std::visit([&](const auto& each) { execute(name, slot, each); },
                        effect);
@@ -946,7 +950,9 @@
                  const caller_answer& answer)
     {
         if (!answers.emplace(answer.id, answer).second)
-            violations.push_back("more than one answer to a call");
+            violations.push_back(fmt::format(
+                "more than one answer to call {}: {} and {}", answer.id,
+                to_string(answers[answer.id].code), to_string(answer.code)));
     }
     void execute(const std::string&, simulated_host&, const set_link_secret&) {}
     void execute(const std::string&, simulated_host&, const log_record& record)
--- a/tests/loaded_cell.hpp
+++ b/tests/loaded_cell.hpp
@@ -37,8 +37,12 @@
 
 struct loaded_cell : simulated_cell
 {
-    explicit loaded_cell(std::uint64_t seed, std::size_t worker_count = 48)
-        : simulated_cell(5, 0), random(seed)
+    explicit loaded_cell(std::uint64_t seed, std::size_t worker_count = 48,
+                         std::vector<job_profile> load =
+                             {std::begin(job_profiles), std::end(job_profiles)},
+                         std::size_t host_count = 5)
+        : simulated_cell(host_count, 0), profiles(std::move(load)),
+          host_count(host_count), random(seed)
     {
         std::vector<queue_config> queues;
         int priorities[] = {0, 2, 1};
@@ -47,14 +51,14 @@
         for (std::size_t i = 0; i < 3; ++i)
         {
             queue_config queue;
-            queue.name = job_profiles[i].queue;
+            queue.name = profiles[i].queue;
             queue.host = "example";
-            queue.prefix = std::string("/") + job_profiles[i].queue + "/";
+            queue.prefix = std::string("/") + profiles[i].queue + "/";
             queue.service = "service";
             queue.priority = priorities[i];
             queue.max_attempts = 4;
-            queue.stretch = job_profiles[i].stretch;
-            queue.slack_ms = job_profiles[i].slack_ms;
+            queue.stretch = profiles[i].stretch;
+            queue.slack_ms = profiles[i].slack_ms;
             queue.advice = advice_costs[i];
             queues.push_back(queue);
         }
@@ -136,8 +140,8 @@
         amounts[id] = {cpu, 100, 0};
         submitted_at[id] = now;
         key_of[id] = key;
-        calls[id] = submit(fmt::format("h{}", job_number % 5), job_number, work,
-                           profile.queue, key);
+        calls[id] = submit(fmt::format("h{}", job_number % host_count),
+                           job_number, work, profile.queue, key);
     }
 
     /// Submits jobs for `seconds`, each profile at its usual rate multiplied by
@@ -150,7 +154,7 @@
         std::uniform_real_distribution<double> chance(0, 1);
         for (int ms = 0; ms < seconds * 1000; ms += 5)
         {
-            for (const auto& profile : job_profiles)
+            for (const auto& profile : profiles)
                 if (chance(random) <
                     profile.per_second * factor(profile, ms / 1000) * 0.005)
                     submit_job(profile);
@@ -158,7 +162,7 @@
             // `excess_factor`.
             std::swap(random, excess_random);
             if (excess_factor > 0 && chance(random) < 8 * excess_factor * 0.005)
-                submit_job(job_profiles[0], "key-hot");
+                submit_job(profiles[0], "key-hot");
             std::swap(random, excess_random);
             run(milliseconds(5));
             record_ended_jobs();
@@ -217,6 +221,8 @@
                    : static_cast<double>(jobs_in_time) / submitted_jobs;
     }
 
+    std::vector<job_profile> profiles;
+    std::size_t host_count;
     std::mt19937_64 random;
     std::mt19937_64 excess_random{99};
     unsigned job_count = 0;
--- a/tests/test_cell_order.cpp
+++ b/tests/test_cell_order.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "cell_advice_p.hpp"
+#include "cell_limits_p.hpp"
 #include "cell_order_p.hpp"
 #include "cell_placement_p.hpp"
 
@@ -226,3 +227,18 @@
     gang.count = 10;
     CHECK(find_earliest_workers(all, gang, 10, start).empty());
 }
+
+TEST_CASE("An owner that is behind with its events refuses new jobs")
+{
+    // Load pattern: a burst beyond what the owner's processor can handle.
+    admission_input input;
+    input.now = time_point(std::chrono::hours(1));
+    input.objective = input.now + std::chrono::seconds(1);
+    input.hard_deadline = input.now + std::chrono::seconds(3);
+    input.lag = config::cell_max_owner_lag;
+    CHECK(admit(input).code == result_code::ok);
+    input.lag += std::chrono::milliseconds(1);
+    const auto refused = admit(input);
+    CHECK(refused.code == result_code::team_queue_full);
+    CHECK(refused.retry_after_ms > 0);
+}
--- a/tests/test_cell_recovery.cpp
+++ b/tests/test_cell_recovery.cpp
@@ -101,6 +101,91 @@
     cell.check_all_done(1, 4);
 }
 
+TEST_CASE("An owner that workers refuse for its epoch stops at once")
+{
+    // Guards against an owner without the store that goes on calling workers
+    // and is refused thousands of times, at the cost of its successor.
+    recovery_test_cell cell(4, 12);
+    const auto first = cell.owner();
+    cell.hosts[first].reaches_store = false;
+    REQUIRE(cell.run_until(milliseconds(5000),
+                           [&]
+                           {
+                               for (const auto& [name, slot] : cell.hosts)
+                                   if (name != first && slot.host->is_owner())
+                                       return true;
+                               return false;
+                           }));
+    cell.run(milliseconds(300));
+    CHECK_FALSE(cell.hosts[first].host->is_owner());
+    const auto refusals =
+        std::count_if(cell.log.begin(), cell.log.end(),
+                      [](const log_record& record)
+                      { return record.code == log_code::cell_fenced; });
+    CHECK(refusals <= 1);
+}
+
+TEST_CASE("A new owner counts runs that no worker has reported yet against "
+          "the limit of their customer")
+{
+    // The customer uses all of its limit on a worker that the new owner can
+    // not reach. Guards against starts beyond the limit meanwhile.
+    recovery_test_cell cell(3, 2);
+    cell.plan = [](const cell_task_id&, std::uint32_t) {
+        return fake_run{time_point(milliseconds(20000)), end_kind::done, {}};
+    };
+    const auto runs_of_customer = [&cell]
+    { return cell.workers["w0"].runs.size() + cell.workers["w1"].runs.size(); };
+    cell.workers["w1"].reachable = false;
+    cell.run(milliseconds(700));
+    cell.submit(cell.non_owner(), 1, cell.make_work(4, 1000), "batch",
+                "key-small");
+    REQUIRE(cell.run_until(milliseconds(1000),
+                           [&] { return runs_of_customer() == 4; }));
+    cell.run(milliseconds(300));
+    cell.workers["w0"].reachable = false;
+    cell.workers["w1"].reachable = true;
+    cell.kill_host(cell.owner());
+    REQUIRE(cell.run_until(milliseconds(3000),
+                           [&] { return !cell.owner().empty(); }));
+    const auto entry_host = cell.owner();
+    cell.submit(entry_host, 2, cell.make_work(4, 1000), "batch", "key-small");
+    cell.submit(entry_host, 3, cell.make_work(4, 1000));
+    cell.run(milliseconds(1500));
+    // The other customer is not held up.
+    CHECK(cell.starts.count({cell.job_id(3), 0, 0, 0}) == 1);
+    CHECK(cell.starts.count({cell.job_id(2), 0, 0, 0}) == 0);
+    cell.workers["w0"].reachable = true;
+    cell.run(milliseconds(2000));
+    CHECK(cell.starts.count({cell.job_id(2), 0, 0, 0}) == 0);
+    CHECK(cell.starts[{cell.job_id(1), 0, 0, 0}] == 1);
+}
+
+TEST_CASE("Odd rows of other writers stop no host and hide no job")
+{
+    // Guards against an exception that ends each process which reads the row.
+    recovery_test_cell cell;
+    const auto first = cell.owner();
+    cell.submit_jobs(1, 2, cell.non_owner());
+    cell.run(milliseconds(200));
+    const std::string deep(30000, '[');
+    for (const auto* table : {cell_table::job, cell_table::progress,
+                              cell_table::ended, cell_table::member})
+    {
+        cell.store.put(table, "x1", R"({"address":7,"p":7,"t":"a","c":1})");
+        cell.store.put(table, "x2", deep);
+        cell.store.put(table, "x3", deep + std::string(30000, ']'));
+        cell.store.put(table, "x4", "7");
+    }
+    cell.store.put(cell_table::ended, "x5", R"({"p":"completed","t":"a"})");
+    cell.run(milliseconds(1500));
+    cell.kill_host(first);
+    REQUIRE(cell.run_until(milliseconds(3000),
+                           [&] { return !cell.owner().empty(); }));
+    cell.run(milliseconds(3000));
+    cell.check_all_done(1, 2);
+}
+
 TEST_CASE("While the store is down accepted jobs run on and new jobs are "
           "refused and never run")
 {
@@ -294,6 +379,18 @@
     cell.check_all_done(1, 4);
 }
 
+TEST_CASE("An owner that stops is replaced before its heartbeats are missed")
+{
+    // Guards against a pause of the whole cell at each planned restart.
+    recovery_test_cell cell(5);
+    const auto first = cell.owner();
+    cell.hosts[first].inbox.emplace_back(stop_request{});
+    CHECK(cell.run_until(
+        std::chrono::duration_cast<milliseconds>(
+            config::cell_heartbeat_timeout),
+        [&] { return !cell.owner().empty() && cell.owner() != first; }));
+}
+
 TEST_CASE("A host that stops while the owner is silent answers every call")
 {
     recovery_test_cell cell;
