Take a removed row by its key alone

Found on reading: a removal without a version would have been left out as an odd row, and a worker or an evacuation would have stayed. The test has such a row.

--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -60,7 +60,7 @@
     R"({"table":"servers","key":7,"schema_ver":6,"value":"e30="},)"
     R"({"table":"servers","key":"c","value":"e30="},)"
     R"({"table":"servers","key":"d","schema_ver":1e300,"value":"e30="},)"
-    R"(7,)"
+    R"(7,{"table":"servers","key":"gone","deleted":true},)"
     R"({"table":"servers","key":"z","schema_ver":8,"value":"e30="}]})";
 
 void check_rows(const std::vector<row>& rows)
@@ -87,6 +87,7 @@
                           });
     CHECK(result.status == store_status::ok);
     CHECK(result.version == 9);
+    CHECK(result.removed == std::vector<std::string>{"gone"});
     check_rows(result.rows);
 }
 
