--- a/tests/test_cell_owner_cost.cpp
+++ b/tests/test_cell_owner_cost.cpp
@@ -1,4 +1,4 @@
-// Cost of the owner for each task, by the size of the cell.
+// Cost of the owner by the size of the cell.
 #include <cstdlib>
 
 #include "loaded_cell.hpp"
@@ -19,6 +19,44 @@
 
 } // namespace
 
+TEST_CASE("Polls without news are rarer in a large cell")
+{
+    // Each worker runs one long task. Guards against polls whose rate grows
+    // with the cell until the owner can not keep up, and against waits in a
+    // small cell that hide the loss of an answer for longer.
+    struct expectation
+    {
+        std::size_t workers;
+        std::size_t min_polls_each;
+        std::size_t max_polls_each;
+    };
+    const auto expected = GENERATE(values<expectation>(
+        {{48, 5, 7}, {1000, 2, 4}})); // In 3 s: waits of 0.5 s and 1 s.
+    cell_with_owner cell(3, expected.workers);
+    cell.plan = [](const cell_task_id&, std::uint32_t) {
+        return fake_run{time_point(milliseconds(20000)), end_kind::done, {}};
+    };
+    cell.configure(cell.default_queues(), {{"big", {"key-big"}, 1000, {}}});
+    cell.run(milliseconds(100));
+    auto work = cell.make_work(static_cast<std::uint32_t>(expected.workers),
+                               8000, 20000);
+    cell.submit("h0", 1, work);
+    REQUIRE(cell.run_until(milliseconds(3000), [&]
+                           { return cell.starts.size() == expected.workers; }));
+    cell.run(milliseconds(1500));
+    std::size_t polls = 0;
+    for (auto& [id, worker] : cell.workers)
+        worker.drops_call = [&polls](const worker_call& call)
+        {
+            polls += call.command == worker_command::poll ? 1 : 0;
+            return false;
+        };
+    cell.run(milliseconds(3000));
+    CHECK(polls >= expected.min_polls_each * expected.workers);
+    CHECK(polls <= expected.max_polls_each * expected.workers);
+    CHECK(cell.first_violation() == "none");
+}
+
 TEST_CASE("Owner's time for each task", "[.figures]")
 {
     const char* only = std::getenv("OWNER_COST_WORKERS");
