Stop a gang that a change of owners left incomplete

Cause: the owner changed between the starts of a gang's members; the new owner adopted those that ran and let the others wait for a start, which a gang with running members never gets. Change: once all workers have reported, such a gang is stopped and started anew. The test fails without it (6 of 8 members run).

--- a/src/cell_owner_runs.cpp
+++ b/src/cell_owner_runs.cpp
@@ -305,16 +305,22 @@
     {
         for (auto& [number, occurrence] : job->occurrences())
         {
-            for (auto& step : occurrence.steps)
+            for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s)
             {
+                auto& step = occurrence.steps[s];
+                bool is_incomplete = false;
                 for (auto& task : step.tasks)
                 {
                     if (task.state != cell_task_state::unresolved)
                         continue;
                     task.state = cell_task_state::waiting;
                     --step.active;
+                    is_incomplete = true;
                     dispatch_due_ = true;
                 }
+                // The earlier owner has started only some members.
+                if (is_incomplete && job->spec().steps[s].gang)
+                    stop_gang(now, *job, {id, number, s, 0});
             }
         }
     }
--- a/tests/test_cell_recovery.cpp
+++ b/tests/test_cell_recovery.cpp
@@ -161,6 +161,45 @@
     CHECK(cell.starts[{cell.job_id(1), 0, 0, 0}] == 1);
 }
 
+TEST_CASE("A new owner stops a gang of which not all members were started")
+{
+    // The owner dies while starts of a gang are on their way. Guards against
+    // members that wait for the others until the worker gives them up.
+    recovery_test_cell cell(3, 4);
+    cell.workers["w0"].drops_call = [](const worker_call& call)
+    { return call.command == worker_command::start; };
+    auto work = cell.make_work(8, 4000);
+    work.steps.front().gang = true;
+    cell.submit(cell.non_owner(), 1, work);
+    const auto running = [&cell]
+    {
+        std::size_t count = 0;
+        for (const auto& [id, worker] : cell.workers)
+            count += worker.runs.size();
+        return count;
+    };
+    REQUIRE(cell.run_until(milliseconds(500), [&] { return running() == 6; }));
+    cell.kill_host(cell.owner());
+    cell.plan = [](const cell_task_id&, std::uint32_t) {
+        return fake_run{time_point(milliseconds(20000)), end_kind::done, {}};
+    };
+    for (auto& [id, worker] : cell.workers)
+        for (auto& [key, run] : worker.runs)
+            run.ends_at = cell.now + std::chrono::hours(1);
+    cell.workers["w0"].drops_call = {};
+    REQUIRE(cell.run_until(milliseconds(2500),
+                           [&] { return !cell.owner().empty(); }));
+    cell.run(milliseconds(1500));
+    // All members run again, with one run number.
+    CHECK(running() == 8);
+    std::set<std::uint32_t> numbers;
+    for (const auto& [id, worker] : cell.workers)
+        for (const auto& [key, run] : worker.runs)
+            numbers.insert(key.second);
+    CHECK(numbers.size() == 1);
+    CHECK(cell.first_violation() == "none");
+}
+
 TEST_CASE("Odd rows of other writers stop no host and hide no job")
 {
     // Guards against an exception that ends each process which reads the row.
