Show that a cut zone and the others start the same occurrence

Cause: the owner of a cut zone starts tasks for 5.75 s after its last commit. A new owner holds back only tasks that exist when it reads the jobs, not the occurrences that become due later. Change: case 2 of the review, with proxies on the links between hosts.

--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -187,6 +187,9 @@
 {
     int status = 200;
     json body = json::object();
+    /// If set, the request gets no answer: its connection is reset once this
+    /// returns false.
+    std::function<bool()> is_held = {};
 };
 
 inline std::string url_decode(const std::string& text)
@@ -420,7 +423,10 @@
                 note("stand-in could not handle a request: ", e.what());
                 reply = {400, json::object()};
             }
-            if (waited_out_silence() || stopped_)
+            const bool held = static_cast<bool>(reply.is_held);
+            while (held && reply.is_held() && !stopped_)
+                sleep_for(10ms);
+            if (held || waited_out_silence() || stopped_)
             {
                 reset_on_close(fd);
                 return;
@@ -871,6 +877,21 @@
         note("worker ", id_, cut ? " is cut off" : " can be reached again");
         server_.set_silent(cut);
     }
+    /// Cuts the worker off from the owner with token `lost`, or, when it is not
+    /// 0, from all owners but the one with token `only`. 0 and 0 end the cut.
+    void cut_off_from_owners(std::uint64_t lost, std::uint64_t only)
+    {
+        note("worker ", id_, " is cut off from the owner of token ", lost,
+             ", or reaches that of token ", only, " only (0: none)");
+        lost_token_ = lost;
+        only_token_ = only;
+    }
+    /// Returns the highest token seen.
+    std::uint64_t token() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return fence_;
+    }
     /// Refuses all starts with 503, having done nothing.
     void set_refusing(bool refusing)
     {
@@ -1007,6 +1028,24 @@
             return {421, json::object()};
         const auto body = json::parse(request.body);
         const auto token = body.value("fencing_token", std::uint64_t{0});
+        const auto is_held = [this, token] { return is_cut_off(token); };
+        if (is_held())
+            return {0, json::object(), is_held};
+        auto reply = carry_out(request, body, token);
+        if (is_held())
+            reply.is_held = is_held;
+        return reply;
+    }
+
+    bool is_cut_off(std::uint64_t token) const
+    {
+        return (lost_token_ != 0 && token == lost_token_) ||
+               (only_token_ != 0 && token != only_token_);
+    }
+
+    http_reply carry_out(const http_request& request, const json& body,
+                         std::uint64_t token)
+    {
         std::unique_lock<std::mutex> lock(mutex_);
         if (token < fence_)
             return refuse("fence");
@@ -1157,6 +1196,8 @@
     steady::time_point next_row_at_;
     std::atomic<bool> ended_{false};
     std::atomic<bool> refusing_{false};
+    std::atomic<std::uint64_t> lost_token_{0};
+    std::atomic<std::uint64_t> only_token_{0};
     std::atomic<bool> lapsed_{false};
     http_server server_;
     std::thread ticker_;
@@ -1178,8 +1219,8 @@
           ready_(free_port(ip_)), control_(free_port(ip_)),
           peer_(free_port(ip_)),
           store_server_("127.0.0.1",
-                        [number, &store](const http_request& request)
-                        { return store.handle(number, request); })
+                        [this, number, &store](const http_request& request)
+                        { return translate(store.handle(number, request)); })
     {
         write_settings();
     }
@@ -1224,6 +1265,28 @@
         sleep_for(delay);
         start();
     }
+    /// Cuts the host off from the store.
+    void set_store_cut(bool cut)
+    {
+        note("host ", name_, cut ? " is cut off from" : " reaches",
+             " the store");
+        store_server_.set_silent(cut);
+    }
+    /// In rows of the table of hosts that this host reads from the store,
+    /// replaces addresses, as an address translation on the way would.
+    /// Precondition: the host has not started.
+    void translate_addresses(std::map<std::string, std::string> translated)
+    {
+        translated_ = std::move(translated);
+    }
+    const std::string& ip() const
+    {
+        return ip_;
+    }
+    std::uint16_t peer_port() const
+    {
+        return peer_;
+    }
     bool is_ready() const
     {
         return http_call(ip_, ready_, "GET", "/readiness", {{"Host", ip_}}, "",
@@ -1246,6 +1309,27 @@
     }
 
 private:
+    http_reply translate(http_reply reply) const
+    {
+        if (translated_.empty() || !reply.body.contains("rows"))
+            return reply;
+        for (auto& row : reply.body["rows"])
+        {
+            if (row.value("table", std::string()) != "member" ||
+                !row.contains("value"))
+                continue;
+            auto bytes = from_base64(row["value"].get<std::string>());
+            for (const auto& [address, other] : translated_)
+            {
+                const auto at = bytes.find('"' + address + '"');
+                if (at != std::string::npos)
+                    bytes.replace(at + 1, address.size(), other);
+            }
+            row["value"] = to_base64(bytes);
+        }
+        return reply;
+    }
+
     std::string settings_path() const
     {
         return folder_ + "/" + name_ + ".toml";
@@ -1289,6 +1373,7 @@
     std::uint16_t ready_;
     std::uint16_t control_;
     std::uint16_t peer_;
+    std::map<std::string, std::string> translated_;
     http_server store_server_;
     pid_t pid_ = -1;
 };
@@ -1389,15 +1474,21 @@
              routes.size());
     }
 
-    /// Starts three hosts and waits until all of them are ready.
-    void start_hosts()
+    /// Starts hosts, spread over the zones, and waits until all of them are
+    /// ready. `before_start` is called before they start.
+    void start_hosts(std::size_t count = 3,
+                     const std::function<void()>& before_start = {})
     {
-        for (const auto* zone : {"zenkov", "medeu", "talgar"})
-        {
+        static const std::array<const char*, 4> zones{"zenkov", "medeu",
+                                                      "talgar", "kok-tobe"};
+        for (std::size_t i = 0; i < count; ++i)
             hosts.push_back(std::make_unique<entry_host>(
-                static_cast<int>(hosts.size()) + 1, zone, folder_, store));
-            hosts.back()->start();
-        }
+                static_cast<int>(i) + 1, zones[i % zones.size()], folder_,
+                store));
+        if (before_start)
+            before_start();
+        for (const auto& each : hosts)
+            each->start();
         wait_until_ready();
     }
 
