--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -15,24 +15,6 @@
 constexpr auto stop_time = 300ms;
 constexpr int job_count = 4;
 
-std::size_t count_double_runs(const std::vector<run_event>& events)
-{
-    std::map<std::string, int> running;
-    std::size_t twice = 0;
-    for (const auto& each : events)
-    {
-        if (each.what == run_event::type::end)
-            --running[each.task];
-        if (each.what != run_event::type::start || ++running[each.task] < 2)
-            continue;
-        ++twice;
-        note("TWICE: ", each.task, " run ", each.run, " starts on ",
-             each.worker, " at ", each.at_ms,
-             " ms while another run of it goes on");
-    }
-    return twice;
-}
-
 bool check(world& place)
 {
     const tenant wardens;
@@ -60,7 +42,7 @@
     const auto ended = place.runs.count(run_event::type::end, "", "done");
     if (ended < 2 * job_count)
         throw std::runtime_error("the jobs have not ended");
-    const auto twice = count_double_runs(place.runs.events());
+    const auto twice = count_double_runs(place.runs);
     note("starts of tasks that were running already: ", twice,
          ", tasks: ", 2 * job_count);
     return twice == 0;
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -13,24 +13,6 @@
 constexpr std::int64_t due_after_ms = 2500;
 constexpr std::int64_t interval_ms = 5000;
 
-std::size_t count_double_runs(const std::vector<run_event>& events)
-{
-    std::map<std::string, int> running;
-    std::size_t twice = 0;
-    for (const auto& each : events)
-    {
-        if (each.what == run_event::type::end)
-            --running[each.task];
-        if (each.what != run_event::type::start || ++running[each.task] < 2)
-            continue;
-        ++twice;
-        note("TWICE: ", each.task, " run ", each.run, " starts on ",
-             each.worker, " at ", each.at_ms,
-             " ms while another run of it goes on");
-    }
-    return twice;
-}
-
 bool check(world& place)
 {
     const tenant wardens;
@@ -74,7 +56,7 @@
     sleep_for(8s);
     if (place.runs.count(run_event::type::start, job + ".1") == 0)
         throw std::runtime_error("the second occurrence did not start");
-    const auto twice = count_double_runs(place.runs.events());
+    const auto twice = count_double_runs(place.runs);
     note("starts of tasks that were running already: ", twice);
     return twice == 0;
 }
--- a/review/standin/partition.h
+++ b/review/standin/partition.h
@@ -12,30 +12,14 @@
 {
 public:
     tcp_proxy(std::string to_ip, std::uint16_t to_port)
-        : to_ip_(std::move(to_ip)), to_port_(to_port)
+        : to_ip_(std::move(to_ip)), to_port_(to_port),
+          acceptor_("127.0.0.1", [this](int fd) { pass_on(fd); })
     {
-        while (listener_ < 0)
-        {
-            port_ = free_port("127.0.0.1");
-            listener_ = listen_on("127.0.0.1", port_);
-        }
-        acceptor_ = std::thread([this] { accept_all(); });
-    }
-    ~tcp_proxy()
-    {
-        stopped_ = true;
-        ::shutdown(listener_, SHUT_RDWR);
-        acceptor_.join();
-        ::close(listener_);
-        while (connections_ > 0)
-            sleep_for(5ms);
     }
-    tcp_proxy(const tcp_proxy&) = delete;
-    tcp_proxy& operator=(const tcp_proxy&) = delete;
 
     std::string address() const
     {
-        return concat("127.0.0.1:", port_);
+        return acceptor_.address();
     }
     void set_cut(bool cut)
     {
@@ -43,41 +27,16 @@
     }
 
 private:
-    void accept_all()
-    {
-        while (!stopped_)
-        {
-            const int fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-            if (fd < 0)
-                continue;
-            ++connections_;
-            std::thread(
-                [this, fd]
-                {
-                    pass_on(fd);
-                    ::close(fd);
-                    --connections_;
-                })
-                .detach();
-        }
-    }
-
     /// Returns true when a cut has passed.
     bool waited_out_cut() const
     {
         if (!cut_)
             return false;
-        while (cut_ && !stopped_)
+        while (cut_ && !acceptor_.is_stopped())
             sleep_for(10ms);
         return true;
     }
 
-    static void reset_on_close(int fd)
-    {
-        const linger now{1, 0};
-        ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
-    }
-
     /// Moves bytes one way. Returns false when the connection has ended.
     static bool move_bytes(int from, int to)
     {
@@ -98,13 +57,12 @@
         const int other = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const auto address = to_address(to_ip_, to_port_);
         const int on = 1;
-        ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         ::setsockopt(other, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         bool open =
             ::connect(other, reinterpret_cast<const sockaddr*>(&address),
                       sizeof(address)) == 0;
         std::array<pollfd, 2> ends{{{fd, POLLIN, 0}, {other, POLLIN, 0}}};
-        while (open && !stopped_)
+        while (open && !acceptor_.is_stopped())
         {
             ::poll(ends.data(), ends.size(), 20);
             if (waited_out_cut())
@@ -122,12 +80,8 @@
 
     std::string to_ip_;
     std::uint16_t to_port_;
-    std::uint16_t port_ = 0;
-    int listener_ = -1;
-    std::thread acceptor_;
-    std::atomic<bool> stopped_{false};
     std::atomic<bool> cut_{false};
-    std::atomic<int> connections_{0};
+    tcp_acceptor acceptor_; // Last: its threads use all of the above.
 };
 
 /// The links between all hosts of a world, each through a proxy.
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -304,45 +304,121 @@
     throw std::runtime_error("no free port");
 }
 
-/// HTTP server with one thread for each connection.
-class http_server
+/// Listens at a free port and serves each connection in a thread of its own.
+class tcp_acceptor
 {
 public:
-    using handler = std::function<http_reply(const http_request&)>;
+    using server = std::function<void(int fd)>;
 
-    http_server(std::string ip, handler handle)
-        : ip_(std::move(ip)), port_(free_port(ip_)), handle_(std::move(handle))
+    tcp_acceptor(const std::string& ip, server serve)
+        : ip_(ip), serve_(std::move(serve))
     {
-        listener_ = listen_on(ip_, port_);
-        if (listener_ < 0)
-            throw std::runtime_error("the port is taken: " + address());
-        acceptor_ = std::thread([this] { accept_all(); });
+        while (listener_ < 0)
+        {
+            port_ = free_port(ip_);
+            listener_ = listen_on(ip_, port_);
+        }
+        thread_ = std::thread([this] { accept_all(); });
     }
-    ~http_server()
+    ~tcp_acceptor()
     {
         stop();
         while (connections_ > 0)
             sleep_for(5ms);
     }
-    http_server(const http_server&) = delete;
-    http_server& operator=(const http_server&) = delete;
+    tcp_acceptor(const tcp_acceptor&) = delete;
+    tcp_acceptor& operator=(const tcp_acceptor&) = delete;
 
     std::string address() const
     {
         return concat(ip_, ":", port_);
     }
-    /// Closes the listener and all connections.
+    bool is_stopped() const
+    {
+        return stopped_;
+    }
+    /// Closes the listener and shuts all connections down.
     void stop()
     {
         if (stopped_.exchange(true))
             return;
         ::shutdown(listener_, SHUT_RDWR);
-        acceptor_.join();
+        thread_.join();
         ::close(listener_);
         const std::lock_guard<std::mutex> lock(mutex_);
         for (const int fd : open_)
             ::shutdown(fd, SHUT_RDWR);
     }
+
+private:
+    void accept_all()
+    {
+        while (!stopped_)
+        {
+            const int fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+            if (fd < 0)
+                continue;
+            const int on = 1;
+            ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+            {
+                const std::lock_guard<std::mutex> lock(mutex_);
+                open_.insert(fd);
+            }
+            ++connections_;
+            std::thread([this, fd] { serve_and_close(fd); }).detach();
+        }
+    }
+
+    void serve_and_close(int fd)
+    {
+        serve_(fd);
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            open_.erase(fd);
+        }
+        ::close(fd);
+        --connections_;
+    }
+
+    std::string ip_;
+    std::uint16_t port_ = 0;
+    server serve_;
+    int listener_ = -1;
+    std::thread thread_;
+    std::atomic<bool> stopped_{false};
+    std::atomic<int> connections_{0};
+    std::mutex mutex_;
+    std::set<int> open_;
+};
+
+/// Makes the close of a connection a reset.
+inline void reset_on_close(int fd)
+{
+    const linger now{1, 0};
+    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
+/// HTTP server with one thread for each connection.
+class http_server
+{
+public:
+    using handler = std::function<http_reply(const http_request&)>;
+
+    http_server(const std::string& ip, handler handle)
+        : handle_(std::move(handle)),
+          acceptor_(ip, [this](int fd) { serve(fd); })
+    {
+    }
+
+    std::string address() const
+    {
+        return acceptor_.address();
+    }
+    /// Closes the listener and all connections.
+    void stop()
+    {
+        acceptor_.stop();
+    }
     /// While silent, requests get no answer and are not carried out. At the end
     /// the connections that had such requests are reset.
     void set_silent(bool silent)
@@ -363,61 +439,21 @@
     }
 
 private:
-    void accept_all()
-    {
-        while (!stopped_)
-        {
-            const int fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-            if (fd < 0)
-                continue;
-            const int on = 1;
-            ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-            {
-                const std::lock_guard<std::mutex> lock(mutex_);
-                if (stopped_)
-                {
-                    ::close(fd);
-                    continue;
-                }
-                open_.insert(fd);
-            }
-            ++connections_;
-            std::thread(
-                [this, fd]
-                {
-                    serve(fd);
-                    {
-                        const std::lock_guard<std::mutex> lock(mutex_);
-                        open_.erase(fd);
-                    }
-                    ::close(fd);
-                    --connections_;
-                })
-                .detach();
-        }
-    }
-
     /// Returns true when the connection has to be reset.
     bool waited_out_silence() const
     {
         if (!silent_)
             return false;
-        while (silent_ && !stopped_)
+        while (silent_ && !acceptor_.is_stopped())
             sleep_for(10ms);
         return true;
     }
 
-    static void reset_on_close(int fd)
-    {
-        const linger now{1, 0};
-        ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
-    }
-
     /// Waits until the other end closes the connection.
     void stay_silent(int fd) const
     {
         pollfd end{fd, POLLRDHUP, 0};
-        while (!stopped_ && ::poll(&end, 1, 20) == 0)
+        while (!acceptor_.is_stopped() && ::poll(&end, 1, 20) == 0)
         {
         }
     }
@@ -428,7 +464,7 @@
         if (dark_)
         {
             const auto end = steady::now() + 1s;
-            while (!stopped_ && steady::now() < end)
+            while (!acceptor_.is_stopped() && steady::now() < end)
                 sleep_for(10ms);
             reset_on_close(fd);
             return;
@@ -436,9 +472,9 @@
         std::string buffer;
         std::string head;
         std::string body;
-        while (!stopped_ && read_message(fd, buffer, head, body))
+        while (!acceptor_.is_stopped() && read_message(fd, buffer, head, body))
         {
-            if (waited_out_silence() || stopped_)
+            if (waited_out_silence() || acceptor_.is_stopped())
             {
                 reset_on_close(fd);
                 return;
@@ -467,9 +503,9 @@
                 return;
             }
             const bool held = static_cast<bool>(reply.is_held);
-            while (held && reply.is_held() && !stopped_)
+            while (held && reply.is_held() && !acceptor_.is_stopped())
                 sleep_for(10ms);
-            if (held || waited_out_silence() || stopped_)
+            if (held || waited_out_silence() || acceptor_.is_stopped())
             {
                 reset_on_close(fd);
                 return;
@@ -524,18 +560,11 @@
         return request;
     }
 
-    std::string ip_;
-    std::uint16_t port_;
     handler handle_;
-    int listener_ = -1;
-    std::thread acceptor_;
-    std::atomic<bool> stopped_{false};
     std::atomic<bool> silent_{false};
     std::atomic<bool> dark_{false};
     std::atomic<unsigned> life_{0};
-    std::atomic<int> connections_{0};
-    std::mutex mutex_;
-    std::set<int> open_;
+    tcp_acceptor acceptor_; // Last: its threads use all of the above.
 };
 
 struct client_answer
@@ -844,6 +873,25 @@
     std::vector<run_event> events_;
 };
 
+/// Counts the starts of tasks of which another run was going on. Notes each.
+inline std::size_t count_double_runs(const run_log& log)
+{
+    std::map<std::string, int> running;
+    std::size_t twice = 0;
+    for (const auto& each : log.events())
+    {
+        if (each.what == run_event::type::end)
+            --running[each.task];
+        if (each.what != run_event::type::start || ++running[each.task] < 2)
+            continue;
+        ++twice;
+        note("TWICE: ", each.task, " run ", each.run, " starts on ",
+             each.worker, " at ", each.at_ms,
+             " ms while another run of it goes on");
+    }
+    return twice;
+}
+
 /// Members of the gangs that are present, over all workers.
 class gang_registry
 {
