Keep the runs that a restarted worker has accepted

Cause: when a poll showed a new start time, the owner dropped all runs of the worker, also those that the new incarnation had accepted before that poll, and started them elsewhere. A restart now resets what is known of the worker but keeps its runs, and the lists of the new incarnation decide about them. Starts whose outcome is open carry a deadline on the clock of the earlier incarnation, so they are settled by a stop.

--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -311,6 +311,8 @@
     /// when the worker no longer exists and is to be removed.
     bool update_worker(time_point now, cell_worker& worker);
     void send_poll(time_point now, cell_worker& worker);
+    void on_worker_restarted(time_point now, cell_worker& worker,
+                             const worker_answer& answer);
     void on_poll_answer(time_point now, cell_worker& worker,
                         const pending_call& pending,
                         const worker_answer& answer);
--- a/src/cell_owner_runs.cpp
+++ b/src/cell_owner_runs.cpp
@@ -376,6 +376,8 @@
             now + std::min<duration>(config::cell_unanswered_start_delay *
                                          ++worker.unanswered_starts,
                                      config::cell_max_unanswered_start_delay);
+        if (run->start_deadline_ms == no_start_deadline)
+            request_stop(now, worker, pending.key);
         // The other members of the gang can not proceed, and a stop settles the
         // state of this run sooner than the next report.
         if (job && job->spec().steps[pending.key.first.step].gang)
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -321,19 +321,43 @@
                                  std::move(call), {});
 }
 
+/// The worker takes starts from its restart on, so runs that the owner assigned
+/// to it since then can be runs of the new incarnation: `reconcile_runs` drops
+/// those that the worker does not list.
+void cell_owner::on_worker_restarted(time_point now, cell_worker& worker,
+                                     const worker_answer& answer)
+{
+    context_.log(log_code::cell_worker_restarted,
+                 fmt::format("worker={} runs={} listed_runs={} listed_ends={}",
+                             worker.report().id, worker.runs().size(),
+                             answer.running.size(), answer.ended.size()));
+    workers_.restart(worker);
+    worker.first_seen = now;
+    worker.update_clock(now, answer.clock_ms);
+    std::vector<run_key> unconfirmed;
+    for (const auto& [key, run] : worker.runs())
+        if (run.state != run_state::running)
+            unconfirmed.push_back(key);
+    // The clock of the new incarnation may not reach the deadline of such a
+    // start for hours, so only a stop settles whether its run exists.
+    for (const auto& key : unconfirmed)
+    {
+        auto& run = *worker.find(key);
+        run.start_deadline_ms = no_start_deadline;
+        if (run.state == run_state::unconfirmed)
+            request_stop(now, worker, key);
+    }
+}
+
 void cell_owner::on_poll_answer(time_point now, cell_worker& worker,
                                 const pending_call& pending,
                                 const worker_answer& answer)
 {
     worker.poll_call = 0;
     const auto& id = worker.report().id;
-    const bool restarted =
-        answer.status == command_status::ok &&
-        answer.incarnation_start_ms != 0 && worker.incarnation_start_ms != 0 &&
-        answer.incarnation_start_ms != worker.incarnation_start_ms;
-    if (answer.status == command_status::other_incarnation || restarted)
+    if (answer.status == command_status::other_incarnation)
     {
-        // All runs of the previous incarnation ended with it.
+        // The incarnation with this id has ended, and all its runs with it.
         drop_all_runs(now, worker, "restarted");
         auto report = worker.report();
         const bool listed = worker.listed;
@@ -346,6 +370,10 @@
         unresolved_workers_.erase(restarted_worker.report().id);
         return;
     }
+    if (answer.status == command_status::ok &&
+        answer.incarnation_start_ms != 0 && worker.incarnation_start_ms != 0 &&
+        answer.incarnation_start_ms != worker.incarnation_start_ms)
+        on_worker_restarted(now, worker, answer);
     if (answer.status != command_status::ok)
     {
         ++worker.poll_failures;
--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -73,6 +73,18 @@
     workers_.erase(id);
 }
 
+void cell_workers::restart(cell_worker& worker)
+{
+    cell_worker next(std::move(worker.report_), next_number_++);
+    next.listed = worker.listed;
+    next.requested_stops = worker.requested_stops;
+    next.unknown_amount_runs_ = worker.unknown_amount_runs_;
+    next.runs_ = std::move(worker.runs_);
+    next.runs_by_step_ = std::move(worker.runs_by_step_);
+    next.used_ = worker.used_;
+    worker = std::move(next);
+}
+
 void cell_workers::add_run(cell_worker& worker, const run_key& key,
                            cell_run run)
 {
--- a/src/cell_workers_p.hpp
+++ b/src/cell_workers_p.hpp
@@ -4,6 +4,7 @@
 
 #include <carobcourse/types.hpp>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -26,6 +27,10 @@
     running
 };
 
+/// Value of `cell_run::start_deadline_ms` when the deadline of the start is
+/// unknown, because it was given on the clock of an earlier incarnation.
+constexpr auto no_start_deadline = std::numeric_limits<std::int64_t>::max();
+
 /// One run of a task on a worker. It occupies its resources until its end is
 /// known.
 struct cell_run
@@ -56,7 +61,7 @@
 /// Identifies a run by its task and its run number.
 using run_key = std::pair<cell_task_id, std::uint32_t>;
 
-/// One incarnation of a worker. Core thread only.
+/// A worker in its current incarnation. Core thread only.
 class cell_worker
 {
 public:
@@ -182,6 +187,10 @@
     cell_worker& add(worker_report report);
     /// Removes a worker. Precondition: its runs have been removed.
     void remove(const std::string& id);
+    /// Resets the worker to the state of one that was just added, with a new
+    /// number, because it has restarted under its id. Keeps its runs: the new
+    /// incarnation may have accepted some of them.
+    void restart(cell_worker& worker);
 
     /// Adds a run and occupies its resources. Precondition: the worker does not
     /// have a run with this key.
--- a/src/log_event_p.hpp
+++ b/src/log_event_p.hpp
@@ -78,6 +78,8 @@
     X(cell_worker_gone, 2716, info, "a worker is gone and its lease is over")  \
     X(cell_workers_unresolved, 2717, warning,                                  \
       "workers of an earlier owner did not answer within the longest lease")   \
+    X(cell_worker_restarted, 2719, info,                                       \
+      "a worker has restarted under its id")                                   \
     X(cell_event_failed, 2718, error,                                          \
       "an event could not be handled and is dropped")                          \
     X(cell_job_refused, 2721, info, "a job is refused")                        \
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -233,8 +233,12 @@
     };
     std::vector<pending_poll> pending_polls;
     time_point lease_expired_at; ///< Last time that the lease was over.
+    std::int64_t incarnation_start_ms = 1;
 };
 
+/// Number of ends that a worker lists in one answer.
+inline constexpr std::size_t max_listed_ends = 500;
+
 /// Latest end of a task as `done`: the worker, the number of its end report and
 /// the time.
 struct completion
@@ -520,6 +524,21 @@
         worker.runs.clear();
         worker.pending_polls.clear();
     }
+    /// Starts a worker again under its id. The new incarnation knows no runs,
+    /// ends or epochs, and its clock begins anew.
+    void restart_worker(const std::string& id)
+    {
+        auto& worker = workers.at(id);
+        for (const auto& end : worker.ends)
+            last_completion_.erase(end.task);
+        fake_worker next;
+        next.id = id;
+        next.capacity = worker.capacity;
+        next.clock_offset_ms = -(now.time_since_epoch() / milliseconds(1));
+        next.incarnation_start_ms =
+            unix_offset_ms + now.time_since_epoch() / milliseconds(1);
+        worker = std::move(next);
+    }
 
 private:
     struct timer
@@ -723,9 +742,13 @@
             return;
         const bool answers = delay.count() == 0 && !answer_dropped;
         after(milliseconds(1) + delay,
-              [this, call, reply, answers]
+              [this, call, reply, answers,
+               incarnation = worker.incarnation_start_ms]
               {
                   auto& at = workers[call.address];
+                  // A call that an earlier incarnation took is lost with it.
+                  if (at.incarnation_start_ms != incarnation)
+                      return;
                   std::function<void(const worker_answer&)> answer =
                       [](const worker_answer&) {};
                   if (answers)
@@ -746,7 +769,7 @@
         answer.id = call.id;
         answer.status = command_status::ok;
         answer.clock_ms = clock_of(worker);
-        answer.incarnation_start_ms = 1;
+        answer.incarnation_start_ms = worker.incarnation_start_ms;
         if (call.epoch < worker.epoch)
         {
             answer.status = command_status::fenced;
@@ -800,7 +823,10 @@
             answer.clock_ms = clock_of(at);
             for (const auto& [run, about] : at.runs)
                 answer.running.push_back({run.first, run.second, "", 50, 0});
-            answer.ended = at.ends;
+            const auto listed = std::min(at.ends.size(), max_listed_ends);
+            answer.ended.assign(at.ends.begin(),
+                                at.ends.begin() +
+                                    static_cast<std::ptrdiff_t>(listed));
             reply(answer);
         };
         if (call.wait_ms == 0 || !worker.ends.empty())
@@ -809,11 +835,14 @@
             worker.pending_polls.push_back(
                 {now + milliseconds(call.wait_ms), list});
     }
-    /// True when the task may run again although it was done: the lease of its
-    /// worker ran out before the end was acknowledged.
+    /// True when the task may run again although it was done: its worker was
+    /// restarted, or the lease there ran out, before the end was acknowledged.
     bool is_completion_lost(const cell_task_id& task)
     {
-        const auto& end = last_completion_[task];
+        const auto found = last_completion_.find(task);
+        if (found == last_completion_.end())
+            return true;
+        const auto& end = found->second;
         const auto& worker = workers[end.worker];
         const bool unacknowledged = std::any_of(
             worker.ends.begin(), worker.ends.end(),
