Count an occurrence once, however often its ends are reported

Cause: mark_done added an ended occurrence for each end "done" that arrived while all steps of the occurrence were done. A new owner receives unacknowledged ends again, and each member of a gang reports its own. An end of a step that has ended before now changes nothing.

--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -134,6 +134,10 @@
     if (!step || id.index >= step->tasks.size() ||
         spec_.steps[id.step].long_running)
         return;
+    // Workers report ends again to a new owner, and each member of a gang
+    // reports its own. The step counts towards its occurrence once.
+    if (step->done == step->tasks.size())
+        return;
     remaining_core_ms_.reset();
     const auto finish_task = [step](cell_task& task)
     {
--- a/tests/test_cell_job.cpp
+++ b/tests/test_cell_job.cpp
@@ -95,3 +95,66 @@
         job.mark_done({job.id(), 2, 0, i});
     CHECK(job.phase() == job_phase::completed);
 }
+
+TEST_CASE("An end that is reported again does not complete further occurrences")
+{
+    // Guards against a job that is shown as completed before its last
+    // occurrence: a new owner receives unacknowledged ends a second time.
+    auto work = two_tasks(false);
+    work.occurrences = 2;
+    work.first_due_ms = 5;
+    work.interval_ms = 100;
+    auto job = job_with(work);
+    job.mark_done({job.id(), 0, 0, 0});
+    job.mark_done({job.id(), 0, 0, 1});
+    auto restored = cell_job::from_text(job.id(), job.spec_text());
+    REQUIRE(restored);
+    REQUIRE(restored->read_progress(job.progress_text()));
+    for (auto* each : {&job, restored.get()})
+    {
+        each->mark_done({job.id(), 0, 0, 1});
+        CHECK_FALSE(is_final(each->phase()));
+        each->add_due_occurrences(105);
+        each->mark_done({job.id(), 1, 0, 0});
+        CHECK_FALSE(is_final(each->phase()));
+        each->mark_done({job.id(), 1, 0, 1});
+        CHECK(each->phase() == job_phase::completed);
+    }
+}
+
+TEST_CASE("The ends of a gang's members complete one occurrence")
+{
+    // Guards against a scheduled gang that is shown as completed after its
+    // first occurrence, whose members all report their end.
+    auto work = two_tasks(true);
+    work.occurrences = 3;
+    work.first_due_ms = 5;
+    work.interval_ms = 100;
+    auto job = job_with(work);
+    for (std::uint32_t occurrence = 0; occurrence < 3; ++occurrence)
+    {
+        job.add_due_occurrences(5 + 100 * occurrence);
+        CHECK_FALSE(is_final(job.phase()));
+        job.mark_done({job.id(), occurrence, 0, 0});
+        job.mark_done({job.id(), occurrence, 0, 1});
+    }
+    CHECK(job.phase() == job_phase::completed);
+}
+
+TEST_CASE("An end of an earlier step does not complete an occurrence again")
+{
+    // Guards against the same count when the repeated end belongs to a step
+    // that others depend on.
+    auto work = two_tasks(false);
+    work.steps.push_back(work.steps.front());
+    work.steps.back().depends_on = {0};
+    work.occurrences = 2;
+    work.first_due_ms = 5;
+    work.interval_ms = 100;
+    auto job = job_with(work);
+    for (std::uint32_t step = 0; step < 2; ++step)
+        for (std::uint32_t i = 0; i < 2; ++i)
+            job.mark_done({job.id(), 0, step, i});
+    job.mark_done({job.id(), 0, 0, 0});
+    CHECK_FALSE(is_final(job.phase()));
+}
