Hold back new occurrences that an earlier owner may start

Cause: a new owner holds the tasks of its predecessor back until the workers have reported or their leases are over, but only those that exist when it has read the jobs. An occurrence that becomes due later was started at once, while the predecessor, which may start tasks until its leases end, started it too. Occurrences of jobs that an earlier owner has accepted are now held back as long.

The same assumption on a related path: a report of an occurrence that was not due by the new owner's clock was taken for one of an unknown task, so its run was stopped or its end ignored, and it ran again when due. A report now adds the occurrence; its other tasks wait until it is due.

--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -77,6 +77,12 @@
         occurrence_at(next_occurrence_++);
 }
 
+void cell_job::add_occurrences_through(std::uint32_t number)
+{
+    while (next_occurrence_ <= number && next_due_ms())
+        occurrence_at(next_occurrence_++);
+}
+
 std::optional<std::int64_t> cell_job::next_due_ms() const
 {
     if (spec_.occurrences == 0)
@@ -87,7 +93,7 @@
     }
     if (next_occurrence_ >= spec_.occurrences)
         return std::nullopt;
-    return spec_.first_due_ms + next_occurrence_ * spec_.interval_ms;
+    return due_ms(next_occurrence_);
 }
 
 step_state* cell_job::find_step(std::uint32_t occurrence, std::uint32_t step)
@@ -300,10 +306,12 @@
     }
 }
 
-void cell_job::mark_unresolved()
+void cell_job::mark_unresolved(std::uint32_t first)
 {
-    for (auto& [number, run] : occurrences_)
+    for (auto it = occurrences_.lower_bound(first); it != occurrences_.end();
+         ++it)
     {
+        auto& run = it->second;
         for (auto& step : run.steps)
         {
             for (auto& task : step.tasks)
--- a/src/cell_job_p.hpp
+++ b/src/cell_job_p.hpp
@@ -122,6 +122,19 @@
     /// Adds the occurrences that are due at `unix_ms`. Precondition: the phase
     /// is not final.
     void add_due_occurrences(std::int64_t unix_ms);
+    /// Adds the occurrences up to `number`, because a worker reports a run of
+    /// it: the earlier owner's clock may be ahead.
+    void add_occurrences_through(std::uint32_t number);
+    /// Number of the next occurrence to be added.
+    std::uint32_t next_occurrence() const
+    {
+        return next_occurrence_;
+    }
+    /// Returns true when tasks of the occurrence may start at `unix_ms`.
+    bool is_due(std::uint32_t occurrence, std::int64_t unix_ms) const
+    {
+        return spec_.occurrences == 0 || due_ms(occurrence) <= unix_ms;
+    }
     /// Returns the Unix time of the next occurrence, 0 for a job that runs once
     /// immediately, and `std::nullopt` when all occurrences have been added.
     std::optional<std::int64_t> next_due_ms() const;
@@ -183,9 +196,9 @@
     /// Restores the progress of the job from its row. Returns false when the
     /// row is unreadable; a part of it may have been applied then.
     bool read_progress(const std::string& text);
-    /// Marks all waiting tasks as unresolved, since an earlier owner may have
-    /// started them.
-    void mark_unresolved();
+    /// Marks all waiting tasks of the occurrences from `first` on as
+    /// unresolved, since an earlier owner may have started them.
+    void mark_unresolved(std::uint32_t first = 0);
 
     /// Returns the estimated remaining work of the added occurrences, in core
     /// milliseconds.
@@ -203,6 +216,11 @@
 private:
     /// Returns the occurrence, which is created when it does not exist.
     occurrence_state& occurrence_at(std::uint32_t number);
+    /// Precondition: the job has several occurrences.
+    std::int64_t due_ms(std::uint32_t occurrence) const
+    {
+        return spec_.first_due_ms + occurrence * spec_.interval_ms;
+    }
     bool all_ended() const;
     double compute_remaining_core_ms() const;
 
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -424,7 +424,9 @@
         if (due_ms && *due_ms <= context_.wall_clock_ms &&
             !is_final(job->phase()))
         {
+            const auto first = job->next_occurrence();
             job->add_due_occurrences(context_.wall_clock_ms);
+            hold_back_unresolved(*job, first);
             dispatch_due_ = true;
         }
     }
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -70,6 +70,8 @@
             continue;
         for (auto& [number, occurrence] : job->occurrences())
         {
+            if (!job->is_due(number, context_.wall_clock_ms))
+                continue;
             for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s)
             {
                 const auto& step = occurrence.steps[s];
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -343,6 +343,11 @@
     void count_worker_failure(time_point now, cell_worker& worker,
                               const std::string& job);
     void release_unresolved_tasks(time_point now);
+    /// Marks the tasks of the occurrences from `first` on as unresolved if an
+    /// earlier owner may start them.
+    void hold_back_unresolved(cell_job& job, std::uint32_t first);
+    /// Returns the task of a report, or null when it is not a task of the job.
+    cell_task* find_reported_task(cell_job* job, const cell_task_id& id);
 
     // Placement of tasks and advice (cell_owner_dispatch.cpp).
     void dispatch(time_point now);
--- a/src/cell_owner_runs.cpp
+++ b/src/cell_owner_runs.cpp
@@ -93,7 +93,7 @@
                            const running_report& report)
 {
     auto* job = find_job(report.task.job);
-    auto* task = job ? job->find(report.task) : nullptr;
+    auto* task = find_reported_task(job, report.task);
     cell_run run;
     run.state = run_state::running;
     run.confirmed_at = now;
@@ -136,7 +136,7 @@
                              to_string(end.task), end.run, id,
                              name_of(end.kind), end.number));
     auto* job = find_job(end.task.job);
-    auto* task = job ? job->find(end.task) : nullptr;
+    auto* task = find_reported_task(job, end.task);
     workers_.remove_run(worker, key);
     if (!task || is_final(job->phase()))
         return;
@@ -326,6 +326,28 @@
     }
 }
 
+/// An earlier owner that is cut off knows the jobs that it has accepted and
+/// goes on starting their occurrences until its leases end.
+void cell_owner::hold_back_unresolved(cell_job& job, std::uint32_t first)
+{
+    if (has_unresolved_tasks_ && job.accepted_epoch() != row().epoch)
+        job.mark_unresolved(first);
+}
+
+cell_task* cell_owner::find_reported_task(cell_job* job, const cell_task_id& id)
+{
+    if (!job)
+        return nullptr;
+    if (id.occurrence >= job->next_occurrence() && !is_final(job->phase()))
+    {
+        const auto first = job->next_occurrence();
+        job->add_occurrences_through(id.occurrence);
+        hold_back_unresolved(*job, first);
+        dispatch_due_ = true;
+    }
+    return job->find(id);
+}
+
 // ----------------------------------------------------------- starts and stops
 
 void cell_owner::on_start_answer(time_point now, cell_worker& worker,
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -267,6 +267,7 @@
         std::uint64_t generation = 0;
         bool ready = false;
         bool stopped = false;
+        std::int64_t clock_error_ms = 0; ///< Error of the time of day.
         /// Real time that the host has spent on its events.
         std::chrono::steady_clock::duration handling_time{};
     };
@@ -566,8 +567,9 @@
             return;
         if (tick)
         {
-            slot.inbox.emplace_back(wall_clock{
-                unix_offset_ms + now.time_since_epoch() / milliseconds(1)});
+            slot.inbox.emplace_back(
+                wall_clock{unix_offset_ms + slot.clock_error_ms +
+                           now.time_since_epoch() / milliseconds(1)});
             slot.inbox.emplace_back(timer_tick{});
         }
         if (slot.inbox.empty())
