Take no run for lost before a worker has listed all its ends

Cause: a worker lists 500 ends at a time. The owner dropped each confirmed run that the first page did not list, and a new owner released the tasks held back for a worker after its first page, or when the longest lease was over although the worker answered. Only an answer that lists all ends now drops runs and releases tasks; the end of the longest lease releases those of workers that have not answered.

--- a/src/cell_limits_p.hpp
+++ b/src/cell_limits_p.hpp
@@ -89,6 +89,9 @@
 /// Largest amount of one resource that a worker may report. Sums over all
 /// workers stay far below the range of the type.
 constexpr std::int64_t cell_max_worker_amount = 1'000'000'000;
+/// Number of ends that a worker lists in one answer. It lists further ones when
+/// these are acknowledged.
+constexpr std::size_t cell_max_listed_ends = 500;
 /// Longest lease that a worker accepts.
 constexpr auto cell_max_worker_lease = 6000ms;
 /// Maximum error of the rate of a worker's clock, in percent.
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -427,7 +427,7 @@
     /// Workers that may hold a lease, as last written to the store.
     std::set<std::string> leased_workers_;
     /// Workers that may run tasks of earlier owners and have not yet reported
-    /// what they run.
+    /// all their runs and ends.
     std::set<std::string> unresolved_workers_;
     bool store_failing_ = false;
     /// Tasks in state `unresolved` wait for `unresolved_workers_`.
--- a/src/cell_owner_runs.cpp
+++ b/src/cell_owner_runs.cpp
@@ -32,6 +32,11 @@
     return "incomplete";
 }
 
+bool lists_all_ends(const worker_answer& answer)
+{
+    return answer.ended.size() < config::cell_max_listed_ends;
+}
+
 } // namespace
 
 void cell_owner::reconcile_runs(time_point now, cell_worker& worker,
@@ -67,6 +72,11 @@
     }
     if (worker.last_seen_end > worker.last_durable_end)
         workers_to_acknowledge_.insert(worker.report().id);
+    // A run that is not listed may have its end on a later page.
+    if (!lists_all_ends(answer))
+        return;
+    if (unresolved_workers_.erase(worker.report().id) > 0)
+        dispatch_due_ = true;
     std::vector<run_key> dropped;
     for (const auto& [key, run] : worker.runs())
     {
@@ -285,7 +295,7 @@
 }
 
 /// Makes unresolved tasks wait for a new start once each worker of earlier
-/// owners has either reported what it runs or can have no valid lease.
+/// owners has either reported all its runs and ends or can have no valid lease.
 void cell_owner::release_unresolved_tasks(time_point now)
 {
     if (!has_unresolved_tasks_)
@@ -294,11 +304,22 @@
     {
         if (now < claimed_at_ + config::cell_max_worker_lease_with_drift)
             return;
-        context_.log(log_code::cell_workers_unresolved,
-                     fmt::format("count={} first={}",
-                                 unresolved_workers_.size(),
-                                 *unresolved_workers_.begin()));
-        unresolved_workers_.clear();
+        std::set<std::string> silent;
+        for (const auto& id : unresolved_workers_)
+        {
+            const auto* worker = workers_.find(id);
+            if (!worker || !worker->has_reported)
+                silent.insert(id);
+        }
+        if (!silent.empty())
+            context_.log(log_code::cell_workers_unresolved,
+                         fmt::format("count={} first={}", silent.size(),
+                                     *silent.begin()));
+        for (const auto& id : silent)
+            unresolved_workers_.erase(id);
+        // The others answer, and their leases go on. They still list ends.
+        if (!unresolved_workers_.empty())
+            return;
     }
     has_unresolved_tasks_ = false;
     for (auto& [id, job] : jobs_)
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -395,11 +395,8 @@
     worker.poll_failures = 0;
     worker.reachable = true;
     worker.incarnation_start_ms = answer.incarnation_start_ms;
-    const bool is_first_answer = !worker.has_reported;
     worker.has_reported = true;
     reconcile_runs(now, worker, pending, answer);
-    if (is_first_answer && unresolved_workers_.erase(id) > 0)
-        dispatch_due_ = true;
     worker.next_poll_at = now;
 }
 
