--- a/tests/test_cell_worker_restart.cpp
+++ b/tests/test_cell_worker_restart.cpp
@@ -81,6 +81,25 @@
     CHECK(cell.first_violation() == "none");
 }
 
+TEST_CASE("A start that a restarted worker accepts on its second copy runs "
+          "nowhere else")
+{
+    // Connections to the earlier incarnation are silent, so the first copy of
+    // a start is lost. Guards against a start elsewhere after the second one.
+    restarted_worker_cell cell;
+    std::set<run_key> sent;
+    cell.workers["w0"].drops_call = [&sent](const worker_call& call)
+    {
+        return call.command == worker_command::start &&
+               sent.insert({call.task, call.run}).second;
+    };
+    cell.submit_jobs();
+    cell.run(milliseconds(400));
+    REQUIRE(cell.workers["w0"].runs.size() == 4);
+    cell.run(milliseconds(4000));
+    cell.check_each_task_ran_once();
+}
+
 TEST_CASE("Runs of an earlier incarnation are started again at once")
 {
     // Guards against tasks that stay assigned to a worker that has forgotten
