--- a/tests/test_cell_scheduled.cpp
+++ b/tests/test_cell_scheduled.cpp
@@ -22,7 +22,7 @@
 /// w0. Each side still reaches its own workers.
 std::string cut_owner_off(simulated_cell& cell)
 {
-    const auto first = cell.owner();
+    auto first = cell.owner();
     cell.hosts[first].reaches_store = false;
     for (const auto& [name, slot] : cell.hosts)
         if (name != first)
--- a/tests/test_cell_worker_restart.cpp
+++ b/tests/test_cell_worker_restart.cpp
@@ -112,7 +112,7 @@
         cell.submit(cell.owner(), job, cell.make_work(2, 1000, 800));
     cell.run(milliseconds(500));
     const auto lost = cell.workers["w0"].runs;
-    REQUIRE(lost.size() > 0);
+    REQUIRE_FALSE(lost.empty());
     cell.crash_worker("w0");
     cell.run(milliseconds(500));
     cell.restart_worker("w0");
