Log what the owner does while it is behind

Neither logs nor metrics told whether final phases wait for the store, for the owner's processor or behind other rows. No change of behaviour.

--- a/src/cell_journal.cpp
+++ b/src/cell_journal.cpp
@@ -52,7 +52,8 @@
 {
 }
 
-void cell_journal::write(const std::string& table, const std::string& key,
+void cell_journal::write(time_point now, const std::string& table,
+                         const std::string& key,
                          std::optional<std::string> value, callback on_durable)
 {
     const auto found = std::find_if(queue_.begin(), queue_.end(),
@@ -61,21 +62,31 @@
                                                each.write.table == table;
                                     });
     auto& target = found == queue_.end() ? queue_.emplace_back() : *found;
+    if (found == queue_.end())
+        target.queued_at = now;
     target.write = {table, key, std::nullopt, std::move(value)};
     if (on_durable)
         target.on_durable.push_back(std::move(on_durable));
 }
 
-void cell_journal::remove_lazily(const std::string& table,
+void cell_journal::remove_lazily(time_point now, const std::string& table,
                                  const std::string& key)
 {
     if (is_queued(table, key))
     {
-        write(table, key, std::nullopt);
+        write(now, table, key, std::nullopt);
         return;
     }
     lazy_removals_.emplace_back();
     lazy_removals_.back().write = {table, key, std::nullopt, std::nullopt};
+    lazy_removals_.back().queued_at = now;
+}
+
+time_point cell_journal::oldest_write_at(time_point now) const
+{
+    if (!batch_.empty())
+        return std::min(now, batch_.front().queued_at);
+    return queue_.empty() ? now : queue_.front().queued_at;
 }
 
 void cell_journal::when_durable(callback done)
@@ -200,6 +211,7 @@
     ownership_confirmed_at_ = first_sent_at_;
     released_ = owner_.released;
     const auto written = std::exchange(batch_, {});
+    confirmed_writes_ += written.size();
     for (const auto& each : written)
         for (const auto& on_durable : each.on_durable)
             on_durable();
--- a/src/cell_journal_p.hpp
+++ b/src/cell_journal_p.hpp
@@ -76,11 +76,12 @@
 
     /// Queues a write, which replaces a queued write of the same row. An empty
     /// `value` removes the row. `on_durable` runs when the write is confirmed.
-    void write(const std::string& table, const std::string& key,
+    void write(time_point now, const std::string& table, const std::string& key,
                std::optional<std::string> value, callback on_durable = {});
     /// Removes a row without urgency: the removal fills space that is left in
     /// a commit, unless a write of the row is queued, which it replaces.
-    void remove_lazily(const std::string& table, const std::string& key);
+    void remove_lazily(time_point now, const std::string& table,
+                       const std::string& key);
     /// Runs `done` when all writes queued so far are confirmed, or at once when
     /// there are none. Lazy removals that no commit carries yet are not waited
     /// for.
@@ -127,6 +128,24 @@
     {
         return last_commit_at_;
     }
+    /// Number of queued writes that are in no commit yet.
+    std::size_t queued_count() const
+    {
+        return queue_.size();
+    }
+    /// Time at which the oldest write that is not confirmed was queued; `now`
+    /// when there is none.
+    time_point oldest_write_at(time_point now) const;
+    /// Number of writes that have been confirmed.
+    std::uint64_t confirmed_writes() const
+    {
+        return confirmed_writes_;
+    }
+    /// Smoothed time from a commit to its answer.
+    duration answer_time() const
+    {
+        return smoothed_answer_time_;
+    }
     /// Latest time at which this host is known to have been the owner: when
     /// the last confirmed commit was first sent. Another host may have taken
     /// over since.
@@ -140,6 +159,7 @@
     {
         row_write write;
         std::vector<callback> on_durable;
+        time_point queued_at;
     };
     /// One transmission of the current commit.
     struct commit_copy
@@ -177,6 +197,7 @@
     time_point first_sent_at_; ///< Time of the first copy of the commit.
     time_point ownership_confirmed_at_;
     unsigned consecutive_failures_ = 0;
+    std::uint64_t confirmed_writes_ = 0;
     bool released_ = false;
 };
 
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -21,6 +21,13 @@
 /// A submission does not pass over all workers when another one just did.
 constexpr auto usable_cores_validity = std::chrono::milliseconds(50);
 constexpr auto cleanup_interval = std::chrono::seconds(5);
+constexpr auto load_report_interval = std::chrono::seconds(1);
+/// The owner reports its load when a batch of events takes this long, which
+/// delays its heartbeats.
+constexpr auto min_reported_batch = std::chrono::milliseconds(200);
+/// The owner reports its load when a write waits this long: callers of urgent
+/// work notice it.
+constexpr auto min_reported_write_age = std::chrono::milliseconds(250);
 /// Limits the rows of ended jobs that one cleanup removes.
 constexpr std::size_t max_rows_per_cleanup = 300;
 
@@ -185,7 +192,7 @@
     auto text = job->spec_text();
     jobs_.emplace(id, std::move(job));
     submitters_[id].push_back(from);
-    journal_.write(cell_table::job, id, std::move(text),
+    journal_.write(now, cell_table::job, id, std::move(text),
                    [this, id] { on_submission_durable(id); });
     dispatch_due_ = true;
 }
@@ -327,7 +334,7 @@
     const auto phase = job.phase();
     dirty_jobs_.erase(id);
     journal_.write(
-        cell_table::ended, id,
+        now, cell_table::ended, id,
         json{{"p", to_string(phase)}, {"t", context_.wall_clock_ms}}.dump(),
         [this, now, id, phase] { on_final_phase_durable(now, id, phase); });
 }
@@ -335,17 +342,17 @@
 /// Removes the rows of a job whose final phase is durable. Must not be called
 /// earlier: a removal replaces a queued write of the same row, so it could be
 /// committed before the final phase.
-void cell_owner::discard_job_rows(const std::string& id)
+void cell_owner::discard_job_rows(time_point now, const std::string& id)
 {
-    journal_.remove_lazily(cell_table::job, id);
-    journal_.remove_lazily(cell_table::progress, id);
+    journal_.remove_lazily(now, cell_table::job, id);
+    journal_.remove_lazily(now, cell_table::progress, id);
 }
 
 void cell_owner::on_final_phase_durable(time_point now, const std::string& id,
                                         job_phase phase)
 {
     ended_jobs_[id] = {phase, context_.wall_clock_ms};
-    discard_job_rows(id);
+    discard_job_rows(now, id);
     const auto found = jobs_.find(id);
     if (found != jobs_.end())
     {
@@ -378,7 +385,7 @@
         if (is_final(job->phase()))
             write_final_phase(now, *job);
         else
-            journal_.write(cell_table::progress, id, job->progress_text());
+            journal_.write(now, cell_table::progress, id, job->progress_text());
     }
     const auto ids = std::exchange(workers_to_acknowledge_, {});
     for (const auto& id : ids)
@@ -412,6 +419,31 @@
     }
 }
 
+void cell_owner::report_load(time_point now)
+{
+    auto figures = std::exchange(load_, {});
+    figures.commits = row().sequence - reported_commits_;
+    figures.writes = journal_.confirmed_writes() - reported_writes_;
+    reported_commits_ = row().sequence;
+    reported_writes_ = journal_.confirmed_writes();
+    const auto oldest_write_age = now - journal_.oldest_write_at(now);
+    if (figures.longest_batch < min_reported_batch &&
+        oldest_write_age < min_reported_write_age)
+        return;
+    context_.log(
+        log_code::cell_owner_behind,
+        fmt::format("batches={} longest_ms={} commits={} writes={} "
+                    "writes_queued={} oldest_write_ms={} store_answer_ms={} "
+                    "polls={} new_ends={} repeated_ends={} jobs={} calls={} "
+                    "epoch={}",
+                    figures.batches, figures.longest_batch / milliseconds(1),
+                    figures.commits, figures.writes, journal_.queued_count(),
+                    oldest_write_age / milliseconds(1),
+                    journal_.answer_time() / milliseconds(1), figures.polls,
+                    figures.new_ends, figures.repeated_ends, jobs_.size(),
+                    pending_calls_.size(), row().epoch));
+}
+
 // -------------------------------------------------------------------- rounds
 
 void cell_owner::tick(time_point now)
@@ -438,6 +470,11 @@
         count_waiting_jobs();
         dispatch_due_ = true;
     }
+    if (now >= next_load_report_)
+    {
+        next_load_report_ = now + load_report_interval;
+        report_load(now);
+    }
     if (now >= next_cleanup_)
     {
         next_cleanup_ = now + cleanup_interval;
@@ -456,7 +493,7 @@
                 ++it;
                 continue;
             }
-            journal_.remove_lazily(cell_table::ended, it->first);
+            journal_.remove_lazily(now, cell_table::ended, it->first);
             it = ended_jobs_.erase(it);
             ++removed;
         }
--- a/src/cell_owner_load.cpp
+++ b/src/cell_owner_load.cpp
@@ -142,7 +142,7 @@
     {
         if (ended_jobs_.count(it->first))
         {
-            discard_job_rows(it->first);
+            discard_job_rows(now, it->first);
             it = jobs_.erase(it);
             continue;
         }
@@ -171,7 +171,7 @@
     const auto deferred = std::exchange(deferred_requests_, {});
     for (const auto& [host, item] : deferred)
         on_caller_request(now, host, item);
-    write_leased_workers();
+    write_leased_workers(now);
     dispatch_due_ = true;
 }
 
@@ -192,7 +192,7 @@
     job.hard_deadline = start + response_time * late_end_factor;
 }
 
-void cell_owner::write_leased_workers()
+void cell_owner::write_leased_workers(time_point now)
 {
     std::set<std::string> ids;
     for (const auto& [id, worker] : workers_.all())
@@ -200,7 +200,7 @@
     if (ids == leased_workers_)
         return;
     leased_workers_ = std::move(ids);
-    journal_.write(cell_table::owner, leased_workers_key,
+    journal_.write(now, cell_table::owner, leased_workers_key,
                    json(leased_workers_).dump());
 }
 
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -88,6 +88,8 @@
     void record_batch_time(duration time)
     {
         lag_ = (lag_ * (lag_samples - 1) + time) / lag_samples;
+        ++load_.batches;
+        load_.longest_batch = std::max(load_.longest_batch, time);
     }
     /// Handles timeouts and periodic work. To be called at each timer tick.
     void tick(time_point now);
@@ -254,7 +256,7 @@
                   const carobcourse::row& row);
     void finish_load(time_point now);
     void set_objective(time_point now, cell_job& job);
-    void write_leased_workers();
+    void write_leased_workers(time_point now);
 
     // Requests of callers and writes to the store (cell_owner.cpp).
     void submit(time_point now, const reply_address& from,
@@ -275,10 +277,12 @@
     void update_store_state(time_point now);
     void write_dirty_jobs(time_point now);
     void write_final_phase(time_point now, cell_job& job);
-    void discard_job_rows(const std::string& id);
+    void discard_job_rows(time_point now, const std::string& id);
     void on_final_phase_durable(time_point now, const std::string& id,
                                 job_phase phase);
     void count_waiting_jobs();
+    /// Logs what the owner has done since the last call when it is behind.
+    void report_load(time_point now);
     /// Returns for each customer the accepted work that is ordered before
     /// `job`.
     std::vector<customer_backlog> backlogs_before(time_point now,
@@ -413,6 +417,23 @@
     customer_rate_limiter rate_limiter_;
     time_point next_waiting_count_;
     time_point next_cleanup_;
+    /// What the owner has done since `report_load` was last called.
+    struct load_figures
+    {
+        std::uint64_t batches = 0;
+        duration longest_batch{};
+        std::uint64_t polls = 0; ///< Answers to polls.
+        std::uint64_t new_ends = 0;
+        /// Ends that workers have listed again, as they are not acknowledged.
+        std::uint64_t repeated_ends = 0;
+        std::uint64_t commits = 0;
+        std::uint64_t writes = 0; ///< Confirmed writes.
+    };
+    load_figures load_;
+    /// Totals of the journal when `load_` began.
+    std::uint64_t reported_commits_ = 0;
+    std::uint64_t reported_writes_ = 0;
+    time_point next_load_report_;
     /// Number of batches over which `lag_` is averaged.
     static constexpr int lag_samples = 4;
     duration lag_{};
--- a/src/cell_owner_runs.cpp
+++ b/src/cell_owner_runs.cpp
@@ -66,7 +66,11 @@
     {
         reported.insert({end.task, end.run});
         if (end.number <= worker.last_seen_end)
+        {
+            ++load_.repeated_ends;
             continue;
+        }
+        ++load_.new_ends;
         worker.last_seen_end = end.number;
         on_run_ended(now, worker, end);
     }
--- a/src/log_event_p.hpp
+++ b/src/log_event_p.hpp
@@ -93,7 +93,8 @@
       "a worker runs a task of an earlier owner")                              \
     X(cell_start_failed, 2735, warning, "a start of a task did not succeed")   \
     X(cell_advice_failed, 2736, warning, "a call for advice did not succeed")  \
-    X(cell_gang_waits, 2737, info, "workers are kept for a gang that waits")
+    X(cell_gang_waits, 2737, info, "workers are kept for a gang that waits")   \
+    X(cell_owner_behind, 2738, warning, "the owner is behind with its work")
 
 enum class log_code : std::uint16_t
 {
--- a/tests/test_cell_journal.cpp
+++ b/tests/test_cell_journal.cpp
@@ -53,14 +53,15 @@
     journal_fixture fixture;
     for (int i = 0; i < 20; ++i)
     {
-        fixture.journal.write("job", "a", "x");
+        fixture.journal.write(fixture.now, "job", "a", "x");
         const auto commit = fixture.wait_for_commit(milliseconds(50));
         REQUIRE(commit);
         fixture.now += milliseconds(5);
         CHECK(fixture.confirm(*commit) == cell_journal::outcome::committed);
     }
     bool durable = false;
-    fixture.journal.write("job", "a", "y", [&] { durable = true; });
+    fixture.journal.write(fixture.now, "job", "a", "y",
+                          [&] { durable = true; });
     const auto first = fixture.wait_for_commit(milliseconds(50));
     REQUIRE(first);
     const auto sent = fixture.now;
@@ -90,7 +91,7 @@
           "intervals")
 {
     journal_fixture fixture;
-    fixture.journal.write("job", "a", "x");
+    fixture.journal.write(fixture.now, "job", "a", "x");
     std::vector<time_point> sent;
     for (int ms = 0; ms < 900; ++ms)
     {
@@ -106,7 +107,7 @@
           "second")
 {
     journal_fixture fixture;
-    fixture.journal.write("job", "a", "x");
+    fixture.journal.write(fixture.now, "job", "a", "x");
     const auto first = fixture.wait_for_commit(milliseconds(50));
     REQUIRE(first);
     const auto sent = fixture.now;
@@ -138,7 +139,7 @@
     journal_fixture fixture;
     const auto answer_after = [&fixture](milliseconds time)
     {
-        fixture.journal.write("job", "a", "x");
+        fixture.journal.write(fixture.now, "job", "a", "x");
         const auto commit = fixture.wait_for_commit(milliseconds(50));
         REQUIRE(commit);
         int copies = 0;
@@ -162,9 +163,10 @@
 {
     journal_fixture fixture;
     for (int i = 0; i < 60; ++i)
-        fixture.journal.remove_lazily("job", std::to_string(i));
+        fixture.journal.remove_lazily(fixture.now, "job", std::to_string(i));
     for (int i = 0; i < 70; ++i)
-        fixture.journal.write("job", std::to_string(1000 + i), "x");
+        fixture.journal.write(fixture.now, "job", std::to_string(1000 + i),
+                              "x");
     const auto first = fixture.wait_for_commit(milliseconds(50));
     REQUIRE(first);
     // The owner's row, 70 writes and 26 of the 60 removals.
@@ -172,7 +174,7 @@
     CHECK(first->writes[70].value);
     CHECK_FALSE(first->writes[71].value);
     fixture.confirm(*first);
-    fixture.journal.write("job", "a", "x");
+    fixture.journal.write(fixture.now, "job", "a", "x");
     const auto second = fixture.wait_for_commit(milliseconds(50));
     REQUIRE(second);
     CHECK(second->writes.size() == 36);
