--- a/src/cell_journal_p.hpp
+++ b/src/cell_journal_p.hpp
@@ -123,6 +123,12 @@
     /// True when the current commit has had no effect for
     /// `cell_store_failure_timeout`.
     bool is_store_failing(time_point now) const;
+    /// Number of writes that are in no commit yet, without lazy removals. For
+    /// tests and metrics.
+    std::size_t queued_writes() const
+    {
+        return queue_.size();
+    }
     /// Time at which a commit was last confirmed.
     time_point last_commit_at() const
     {
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -156,6 +156,11 @@
     {
         return jobs_.size();
     }
+    /// Returns the number of writes that are in no commit yet.
+    std::size_t queued_writes() const
+    {
+        return journal_.queued_writes();
+    }
 
 private:
     /// Where the answer to a caller's request goes: the entry host and its
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <fmt/format.h>
 #include <functional>
 #include <map>
@@ -195,6 +196,21 @@
     }
 };
 
+/// Processor time that a host needs for its events. A host that handles a batch
+/// takes the next one, and its effects are carried out, after the sum.
+struct processor_cost
+{
+    using time = std::chrono::microseconds;
+
+    time tick{0};       ///< Timer tick.
+    time answer{0};     ///< Answer to a call, with the sending of the call.
+    time listed_run{0}; ///< Run in the list of a worker.
+    time listed_end{0}; ///< End in the list of a worker.
+    time known_end{0};  ///< End in the list that the host has seen before.
+    time item{0};       ///< Any other message of another host.
+    time event{0};      ///< Any other event.
+};
+
 /// A run on a fake worker.
 struct fake_run
 {
@@ -268,6 +284,11 @@
         bool ready = false;
         bool stopped = false;
         std::int64_t clock_error_ms = 0; ///< Error of the time of day.
+        time_point busy_until;           ///< Handles its last batch until then.
+        bool tick_due = false; ///< A tick came while the host was busy.
+        std::chrono::microseconds busy_time{}; ///< Sum of all batches.
+        std::chrono::microseconds longest_batch{};
+        std::set<run_key> known_ends; ///< For the costs only.
         /// Real time that the host has spent on its events.
         std::chrono::steady_clock::duration handling_time{};
     };
@@ -284,6 +305,14 @@
     bool store_down = false;
     bool store_drops_answers = false; ///< Commits take effect without answers.
     milliseconds store_delay = milliseconds(4);
+    /// When above 0, the store carries out the commits of all hosts one after
+    /// another and each takes this long instead of `store_delay`.
+    milliseconds store_transaction_time = milliseconds(0);
+    /// Hosts take no time for their events unless this is set.
+    std::optional<processor_cost> processor_costs;
+    std::uint64_t listed_ends = 0;  ///< Ends in all lists of workers.
+    std::uint64_t ends = 0;         ///< Ends of runs.
+    std::uint64_t written_rows = 0; ///< Rows in the commits of all hosts.
     /// Returns how a run ends and how long it takes: `ends_at` is the time
     /// since its start.
     std::function<fake_run(const cell_task_id&, std::uint32_t run)> plan =
@@ -308,13 +337,16 @@
     std::function<bool(const std::string& to)> duplicates_messages_to;
 
     explicit simulated_cell(std::size_t host_count = 3,
-                            std::size_t worker_count = 4)
+                            std::size_t worker_count = 4,
+                            std::size_t data_centre_count = 2)
     {
         for (std::size_t i = 0; i < worker_count; ++i)
-            add_worker("w" + std::to_string(i), "dc" + std::to_string(i % 2));
+            add_worker("w" + std::to_string(i),
+                       "dc" + std::to_string(i % data_centre_count));
         configure(default_queues(), default_customers());
         for (std::size_t i = 0; i < host_count; ++i)
-            start_host("h" + std::to_string(i), "dc" + std::to_string(i % 2));
+            start_host("h" + std::to_string(i),
+                       "dc" + std::to_string(i % data_centre_count));
     }
 
     static std::vector<queue_config> default_queues()
@@ -391,6 +423,9 @@
         slot.inbox.clear();
         slot.paused = false;
         slot.stopped = false;
+        slot.busy_until = {};
+        slot.tick_due = false;
+        slot.known_ends.clear();
     }
     void kill_host(const std::string& name)
     {
@@ -404,6 +439,45 @@
             if (each.connected.erase(name) > 0 && each.host)
                 each.inbox.emplace_back(peer_state{name, false});
     }
+    /// Returns the phase that the store holds for an ended job, and nothing for
+    /// a job without a stored final phase.
+    std::optional<job_phase> stored_phase(const std::string& job) const
+    {
+        const auto table = store.tables.find(cell_table::ended);
+        if (table == store.tables.end())
+            return std::nullopt;
+        const auto found = table->second.find(job);
+        if (found == table->second.end() || found->second.removed)
+            return std::nullopt;
+        const auto value =
+            nlohmann::json::parse(found->second.value, nullptr, false);
+        const auto phase = value.is_object() ? value.find("p") : value.end();
+        if (phase == value.end() || !phase->is_string())
+            return std::nullopt;
+        return parse_job_phase(phase->get<std::string>());
+    }
+    /// Passes each job whose final phase the store holds.
+    void for_each_ended_job(
+        const std::function<void(const std::string& job)>& action) const
+    {
+        const auto table = store.tables.find(cell_table::ended);
+        if (table == store.tables.end())
+            return;
+        for (const auto& [job, row] : table->second)
+            if (!row.removed)
+                action(job);
+    }
+    /// Returns for each job with completed tasks when the last one completed.
+    std::map<std::string, time_point> last_completions() const
+    {
+        std::map<std::string, time_point> result;
+        for (const auto& [task, end] : last_completion_)
+        {
+            auto& last = result[task.job];
+            last = std::max(last, end.at);
+        }
+        return result;
+    }
     /// Returns the first violated invariant, or "none".
     std::string first_violation() const
     {
@@ -515,7 +589,7 @@
                 continue;
             ++accepted;
             INFO("job " << job);
-            CHECK(store.tables[cell_table::ended].count(job_id(job)) == 1);
+            CHECK(stored_phase(job_id(job)).has_value());
         }
         return accepted;
     }
@@ -586,7 +660,12 @@
     {
         if (!slot.host || slot.paused || slot.stopped)
             return;
-        if (tick)
+        if (now < slot.busy_until)
+        {
+            slot.tick_due = slot.tick_due || tick;
+            return;
+        }
+        if (std::exchange(slot.tick_due, false) || tick)
         {
             slot.inbox.emplace_back(
                 wall_clock{unix_offset_ms + slot.clock_error_ms +
@@ -599,10 +678,73 @@
         const auto started = std::chrono::steady_clock::now();
         const auto out = slot.host->handle(now, events);
         slot.handling_time += std::chrono::steady_clock::now() - started;
-        for (const auto& effect : out)
+        const auto cost = processor_costs ? cost_of(slot, events)
+                                          : std::chrono::microseconds(0);
+        slot.busy_time += cost;
+        slot.longest_batch = std::max(slot.longest_batch, cost);
+        // A batch may begin between two steps of the clock.
+        const bool was_busy = slot.busy_until > now - milliseconds(1);
+        slot.busy_until = (was_busy ? slot.busy_until : now) + cost;
+        if (slot.busy_until < now + milliseconds(1))
+            execute_all(name, slot, out);
+        else
+            after(
+                std::chrono::duration_cast<milliseconds>(slot.busy_until - now),
+                [this, name, generation = slot.generation,
+                 effects = std::make_shared<const cell_effects>(out)]
+                {
+                    auto& at = hosts[name];
+                    if (at.host && at.generation == generation)
+                        execute_all(name, at, *effects);
+                });
+        expire_watchers();
+    }
+    void execute_all(const std::string& name, simulated_host& slot,
+                     const cell_effects& effects)
+    {
+        for (const auto& effect : effects)
             std::visit([&](const auto& each) { execute(name, slot, each); },
                        effect);
-        expire_watchers();
+    }
+    std::chrono::microseconds cost_of(simulated_host& slot,
+                                      const std::vector<cell_event>& events)
+    {
+        std::chrono::microseconds sum{0};
+        for (const auto& event : events)
+        {
+            if (std::holds_alternative<timer_tick>(event))
+                sum += processor_costs->tick;
+            else if (const auto* message = std::get_if<peer_received>(&event))
+                sum += cost_of(slot, *message);
+            else
+                sum += processor_costs->event;
+        }
+        return sum;
+    }
+    std::chrono::microseconds cost_of(simulated_host& slot,
+                                      const peer_received& message)
+    {
+        std::chrono::microseconds sum{0};
+        const auto items =
+            nlohmann::json::from_cbor(message.payload, true, false);
+        for (const auto& item : items)
+        {
+            if (item.value("k", std::string()) != "reply")
+            {
+                sum += processor_costs->item;
+                continue;
+            }
+            const auto answer = worker_answer_from_json(item.at("v"));
+            sum += processor_costs->answer +
+                   processor_costs->listed_run *
+                       static_cast<std::int64_t>(answer.running.size());
+            for (const auto& end : answer.ended)
+                sum += slot.known_ends.insert({end.task, end.run}).second
+                           ? processor_costs->listed_end
+                           : processor_costs->known_end;
+            listed_ends += answer.ended.size();
+        }
+        return sum;
     }
     void deliver(const std::string& name, std::uint64_t generation,
                  cell_event event)
@@ -630,18 +772,37 @@
                   { deliver(name, generation, result); });
             return;
         }
-        after(store_delay,
-              [this, name, generation, operation, perform]
+        constexpr bool is_commit = std::is_same<Operation, store_commit>::value;
+        const std::function<void()> carry_out =
+            [this, name, generation, operation, perform]
+        {
+            store_result result = perform(operation);
+            if (store_drops_answers && is_commit)
+            {
+                result = store_result{};
+                result.op = operation.op;
+            }
+            after(milliseconds(2), [this, name, generation, result]
+                  { deliver(name, generation, result); });
+        };
+        if (!is_commit || store_transaction_time == milliseconds(0))
+        {
+            after(store_delay, carry_out);
+            return;
+        }
+        transactions_.push_back(carry_out);
+        if (transactions_.size() == 1)
+            begin_transaction();
+    }
+    void begin_transaction()
+    {
+        after(store_transaction_time,
+              [this]
               {
-                  store_result result = perform(operation);
-                  if (store_drops_answers &&
-                      std::is_same<Operation, store_commit>::value)
-                  {
-                      result = store_result{};
-                      result.op = operation.op;
-                  }
-                  after(milliseconds(2), [this, name, generation, result]
-                        { deliver(name, generation, result); });
+                  transactions_.front()();
+                  transactions_.pop_front();
+                  if (!transactions_.empty())
+                      begin_transaction();
               });
     }
 
@@ -652,6 +813,7 @@
                       [this](const store_commit& each)
                       {
                           auto result = store.commit(each);
+                          written_rows += result.versions.size();
                           notify_watchers();
                           return result;
                       });
@@ -895,6 +1057,7 @@
     }
     void end_run(fake_worker& worker, const run_key& key, end_kind kind)
     {
+        ++ends;
         worker.runs.erase(key);
         auto& highest = worker.highest_ended_run[key.first];
         highest = std::max(highest, key.second);
@@ -1039,6 +1202,8 @@
     std::uint64_t sequence_ = 0;
     call_id calls_ = 0;
     std::vector<watcher> watchers_;
+    /// Commits that the store has yet to carry out, one after another.
+    std::deque<std::function<void()>> transactions_;
 };
 
 /// A simulated cell that has elected an owner. Each task runs for 800 ms.
--- a/tests/loaded_cell.hpp
+++ b/tests/loaded_cell.hpp
@@ -37,12 +37,14 @@
 
 struct loaded_cell : simulated_cell
 {
-    explicit loaded_cell(std::uint64_t seed, std::size_t worker_count = 48,
-                         std::vector<job_profile> load =
-                             {std::begin(job_profiles), std::end(job_profiles)},
-                         std::size_t host_count = 5)
-        : simulated_cell(host_count, 0), profiles(std::move(load)),
-          host_count(host_count), random(seed)
+    explicit loaded_cell(
+        std::uint64_t seed, std::size_t worker_count = 48,
+        std::vector<job_profile> load = {std::begin(job_profiles),
+                                         std::end(job_profiles)},
+        std::size_t host_count = 5, std::size_t data_centre_count = 2,
+        bool with_advice = true)
+        : simulated_cell(host_count, 0, data_centre_count),
+          profiles(std::move(load)), host_count(host_count), random(seed)
     {
         std::vector<queue_config> queues;
         int priorities[] = {0, 2, 1};
@@ -59,11 +61,13 @@
             queue.max_attempts = 4;
             queue.stretch = profiles[i].stretch;
             queue.slack_ms = profiles[i].slack_ms;
-            queue.advice = advice_costs[i];
+            if (with_advice)
+                queue.advice = advice_costs[i];
             queues.push_back(queue);
         }
         for (std::size_t i = 0; i < worker_count; ++i)
-            add_worker(fmt::format("w{:03}", i), fmt::format("dc{}", i % 2),
+            add_worker(fmt::format("w{:03}", i),
+                       fmt::format("dc{}", i % data_centre_count),
                        {32000, 131072, 0});
         configure(queues, {{"big", {"key-big"}, 1000, {}},
                            {"hot", {"key-hot"}, 8, {}}});
@@ -140,8 +144,21 @@
         amounts[id] = {cpu, 100, 0};
         submitted_at[id] = now;
         key_of[id] = key;
-        calls[id] = submit(fmt::format("h{}", job_number % host_count),
-                           job_number, work, profile.queue, key);
+        work_of[id] = work;
+        calls[id] = submit(entry_host(job_number), job_number, work,
+                           profile.queue, key);
+    }
+    /// Returns the host that takes the call of a job: the hosts that are up
+    /// take turns.
+    std::string entry_host(unsigned job_number) const
+    {
+        for (std::size_t i = 0; i < host_count; ++i)
+        {
+            auto name = fmt::format("h{}", (job_number + i) % host_count);
+            if (hosts.at(name).host)
+                return name;
+        }
+        return fmt::format("h{}", job_number % host_count);
     }
 
     /// Submits jobs for `seconds`, each profile at its usual rate multiplied by
@@ -191,18 +208,22 @@
     }
     void record_ended_jobs()
     {
-        for (const auto& [id, row] : store.tables[cell_table::ended])
-            ended_at.emplace(id, now);
+        for_each_ended_job([this](const std::string& job)
+                           { ended_at.emplace(job, now); });
     }
     /// Returns the fraction of jobs of this profile that ended within their
-    /// objective. Counts only jobs of the customer that stays within its share.
-    double fraction_in_time(const job_profile& profile) const
+    /// objective. Counts only jobs of the customer that stays within its share,
+    /// submitted at `from` or later and before `until`.
+    double fraction_in_time(const job_profile& profile,
+                            time_point from = time_point::min(),
+                            time_point until = time_point::max()) const
     {
         int submitted_jobs = 0;
         int jobs_in_time = 0;
         for (const auto& [id, queue] : queue_of)
         {
-            if (queue != profile.queue || key_of.at(id) != "key-big")
+            if (queue != profile.queue || key_of.at(id) != "key-big" ||
+                submitted_at.at(id) < from || submitted_at.at(id) >= until)
                 continue;
             ++submitted_jobs;
             const auto found = ended_at.find(id);
@@ -230,6 +251,7 @@
     std::map<std::string, std::string> key_of;
     std::map<std::string, call_id> calls;
     std::map<std::string, std::int64_t> work_ms_of;
+    std::map<std::string, job_spec> work_of;
     std::map<std::string, time_point> submitted_at;
     std::map<std::string, time_point> ended_at;
 };
--- a/tests/test_cell_lost_answers.cpp
+++ b/tests/test_cell_lost_answers.cpp
@@ -20,7 +20,7 @@
     /// Whether the store has a row with the end of the job.
     bool is_end_recorded(unsigned job)
     {
-        return !store.tables[cell_table::ended][job_id(job)].value.empty();
+        return stored_phase(job_id(job)).has_value();
     }
 };
 
--- a/tests/test_cell_recovery.cpp
+++ b/tests/test_cell_recovery.cpp
@@ -502,9 +502,7 @@
               "/batch/" + cell.job_id(1));
     REQUIRE(cell.run_until(
         milliseconds(300),
-        [&] {
-            return cell.store.tables[cell_table::ended].count(cell.job_id(1));
-        }));
+        [&] { return cell.stored_phase(cell.job_id(1)).has_value(); }));
     cell.kill_host(cell.owner());
     const auto entry_host = cell.hosts["h0"].host ? "h0" : "h1";
     REQUIRE(cell.run_until(milliseconds(3000),
