Store jobs in a log whose rows hold many entries

Cause: each job, progress and final phase was a row of its own, and a commit holds 96 rows, of which one is sent at a time. Final phases stood behind the progress of other jobs. The load asked for more rows than the commits held.

Entries that are no longer in force are dropped with the first rows; entries in force are written again while they take up less than half of the log. The owner's row stays the condition of each commit, so the fence is as before. The final phase of a job replaces its queued progress and ends its other entries, so no removals are needed. A new owner reads one table. What waits for a commit no longer hangs on the last queued write, which a refused submission could take with it. A store counts as failing after four times its answer time (0.5 to 1.2 s), so that a slow one is not taken for it.

Lazy removals of rows are gone, and with them the test of how they fill a commit; tests of the log's size, of what a takeover reads and of what a commit holds take its place. The tests that looked at rows of the store read the log.

test_cell_journal passes, and test_cell_recovery with odd lines in the log.

--- a/src/cell_journal.cpp
+++ b/src/cell_journal.cpp
@@ -52,73 +52,106 @@
 {
 }
 
-void cell_journal::write(time_point now, const std::string& table,
-                         const std::string& key,
-                         std::optional<std::string> value, callback on_durable)
+void cell_journal::append(time_point now, log_entry entry, callback on_durable)
 {
-    const auto found = std::find_if(queue_.begin(), queue_.end(),
-                                    [&](const queued_write& each) {
-                                        return each.write.key == key &&
-                                               each.write.table == table;
-                                    });
-    auto& target = found == queue_.end() ? queue_.emplace_back() : *found;
-    if (found == queue_.end())
-        target.queued_at = now;
-    target.write = {table, key, std::nullopt, std::move(value)};
+    if (entry.kind == log_entry_kind::ended)
+        cancel_queued(log_entry_kind::progress, entry.job);
+    const entry_key key{entry.kind, entry.job};
+    const auto found = queued_.find(key);
+    if (found == queued_.end())
+    {
+        queue_.push_back({std::move(entry), {}, now, ++last_sequence_});
+        queued_.emplace(key, std::prev(queue_.end()));
+    }
+    else
+        found->second->entry = std::move(entry);
     if (on_durable)
-        target.on_durable.push_back(std::move(on_durable));
+        queued_.at(key)->on_durable.push_back(std::move(on_durable));
 }
 
-void cell_journal::remove_lazily(time_point now, const std::string& table,
-                                 const std::string& key)
+void cell_journal::write_row(const std::string& table, const std::string& key,
+                             std::string value)
 {
-    if (is_queued(table, key))
-    {
-        write(now, table, key, std::nullopt);
-        return;
-    }
-    lazy_removals_.emplace_back();
-    lazy_removals_.back().write = {table, key, std::nullopt, std::nullopt};
-    lazy_removals_.back().queued_at = now;
+    queued_rows_[{table, key}] = std::move(value);
 }
 
-time_point cell_journal::oldest_write_at(time_point now) const
+time_point cell_journal::oldest_entry_at(time_point now) const
 {
     if (!batch_.empty())
-        return std::min(now, batch_.front().queued_at);
+        return batch_.front().queued_at;
     return queue_.empty() ? now : queue_.front().queued_at;
 }
 
 void cell_journal::when_durable(callback done)
 {
-    if (!queue_.empty())
-        queue_.back().on_durable.push_back(std::move(done));
-    else if (!batch_.empty())
-        batch_.back().on_durable.push_back(std::move(done));
-    else
+    if (queue_.empty() && batch_.empty())
         done();
+    else
+        barriers_.push_back({last_sequence_, std::move(done)});
+}
+
+void cell_journal::cancel_queued(log_entry_kind kind, const std::string& job)
+{
+    const auto found = queued_.find({kind, job});
+    if (found == queued_.end())
+        return;
+    queue_.erase(found->second);
+    queued_.erase(found);
 }
 
-bool cell_journal::is_queued(const std::string& table,
-                             const std::string& key) const
+void cell_journal::finish_batch_row(std::string& row_text)
 {
-    return std::any_of(queue_.begin(), queue_.end(),
-                       [&](const queued_write& each) {
-                           return each.write.key == key &&
-                                  each.write.table == table;
-                       });
+    if (row_text.empty())
+        return;
+    commit_writes_.push_back({cell_table::log,
+                              log_row_key(batch_rows_.back().number),
+                              std::nullopt, std::exchange(row_text, {})});
 }
 
-void cell_journal::cancel_queued(const std::string& table,
-                                 const std::string& key)
+void cell_journal::add_to_batch(std::string& row_text, const log_entry& entry)
 {
-    const auto found = std::find_if(queue_.begin(), queue_.end(),
-                                    [&](const queued_write& each) {
-                                        return each.write.key == key &&
-                                               each.write.table == table;
-                                    });
-    if (found != queue_.end())
-        queue_.erase(found);
+    auto line = to_line(entry);
+    if (!row_text.empty() &&
+        row_text.size() + line.size() > config::cell_max_log_row_bytes)
+        finish_batch_row(row_text);
+    if (row_text.empty())
+        batch_rows_.push_back({log_.next_number() + batch_rows_.size(), {}});
+    batch_rows_.back().entries.push_back(entry);
+    row_text += line;
+}
+
+void cell_journal::build_commit(time_point now)
+{
+    commit_writes_.clear();
+    batch_rows_.clear();
+    std::string row_text;
+    std::size_t bytes = 0;
+    // Before the queued entries, which are newer.
+    for (const auto& entry :
+         log_.entries_to_rewrite(config::cell_max_rewritten_bytes))
+        add_to_batch(row_text, entry);
+    while (!queue_.empty() && bytes < config::max_commit_bytes)
+    {
+        const auto& entry = queue_.front().entry;
+        bytes += entry.text.size();
+        add_to_batch(row_text, entry);
+        queued_.erase({entry.kind, entry.job});
+        batch_.splice(batch_.end(), queue_, queue_.begin());
+    }
+    for (const auto& job : std::exchange(forgotten_jobs_, {}))
+        add_to_batch(row_text, {log_entry_kind::forgotten, job, {}});
+    finish_batch_row(row_text);
+    for (auto& [name, value] : std::exchange(queued_rows_, {}))
+        commit_writes_.push_back(
+            {name.first, name.second, std::nullopt, std::move(value)});
+    removed_rows_ = log_.removable_rows(config::cell_max_removed_rows);
+    for (const auto number : removed_rows_)
+        commit_writes_.push_back(
+            {cell_table::log, log_row_key(number), std::nullopt, std::nullopt});
+    ++owner_.sequence;
+    owner_.released = release_requested_;
+    commit_pending_ = true;
+    first_sent_at_ = now;
 }
 
 std::optional<store_commit> cell_journal::next_commit(time_point now, op_id op)
@@ -134,38 +167,17 @@
     // that it does not matter which copy takes effect.
     if (!commit_pending_)
     {
-        if (queue_.empty() && !release_requested_ &&
-            lazy_removals_.size() < config::cell_max_commit_rows &&
+        if (queue_.empty() && queued_rows_.empty() && !release_requested_ &&
             now < last_commit_at_ + config::cell_idle_commit_interval)
             return std::nullopt;
-        std::size_t bytes = 0;
-        while (!queue_.empty() &&
-               batch_.size() < config::cell_max_commit_rows &&
-               bytes < config::max_commit_bytes)
-        {
-            bytes += queue_.front().write.value
-                         ? queue_.front().write.value->size()
-                         : 0;
-            batch_.push_back(std::move(queue_.front()));
-            queue_.pop_front();
-        }
-        while (!lazy_removals_.empty() &&
-               batch_.size() < config::cell_max_commit_rows)
-        {
-            batch_.push_back(std::move(lazy_removals_.front()));
-            lazy_removals_.pop_front();
-        }
-        ++owner_.sequence;
-        owner_.released = release_requested_;
-        commit_pending_ = true;
-        first_sent_at_ = now;
+        build_commit(now);
     }
     store_commit commit;
     commit.op = op;
     commit.writes.push_back(
         {cell_table::owner, owner_key, version_, to_text(owner_)});
-    for (const auto& each : batch_)
-        commit.writes.push_back(each.write);
+    commit.writes.insert(commit.writes.end(), commit_writes_.begin(),
+                         commit_writes_.end());
     in_flight_.push_back({op, now});
     resend_at_ = resend_time(now);
     next_commit_at_ = now + config::cell_min_commit_interval;
@@ -197,8 +209,12 @@
 
 bool cell_journal::is_store_failing(time_point now) const
 {
-    return commit_pending_ &&
-           now >= first_sent_at_ + config::cell_store_failure_timeout;
+    // A store that answers slowly does not fail.
+    const auto timeout = std::clamp<duration>(
+        smoothed_answer_time_ * config::cell_store_failure_factor,
+        config::cell_store_failure_timeout,
+        config::cell_max_store_failure_timeout);
+    return commit_pending_ && now >= first_sent_at_ + timeout;
 }
 
 void cell_journal::on_committed(time_point now, std::uint64_t version)
@@ -210,11 +226,23 @@
     last_commit_at_ = now;
     ownership_confirmed_at_ = first_sent_at_;
     released_ = owner_.released;
-    const auto written = std::exchange(batch_, {});
-    confirmed_writes_ += written.size();
-    for (const auto& each : written)
+    for (const auto number : std::exchange(removed_rows_, {}))
+        log_.remove_row(number);
+    for (auto& each : std::exchange(batch_rows_, {}))
+        log_.add_row(each.number, std::move(each.entries));
+    const auto confirmed = std::exchange(batch_, {});
+    confirmed_entries_ += confirmed.size();
+    for (const auto& each : confirmed)
         for (const auto& on_durable : each.on_durable)
             on_durable();
+    const auto durable_sequence =
+        queue_.empty() ? last_sequence_ : queue_.front().sequence - 1;
+    while (!barriers_.empty() && barriers_.front().sequence <= durable_sequence)
+    {
+        const auto done = std::move(barriers_.front().done);
+        barriers_.pop_front();
+        done();
+    }
 }
 
 cell_journal::outcome cell_journal::on_result(time_point now,
--- a/src/cell_journal_p.hpp
+++ b/src/cell_journal_p.hpp
@@ -7,12 +7,14 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "cell_event_p.hpp"
+#include "cell_log_p.hpp"
 
 namespace carobcourse
 {
@@ -22,9 +24,7 @@
 {
 constexpr char owner[] = "cell";
 constexpr char member[] = "member";
-constexpr char job[] = "job";
-constexpr char progress[] = "progress";
-constexpr char ended[] = "ended";
+constexpr char log[] = "log";
 } // namespace cell_table
 
 /// Key of the row that names the owner, in table `cell`.
@@ -55,10 +55,10 @@
 /// Returns nothing when `text` is not an owner's row.
 std::optional<owner_row> parse_owner_row(const std::string& text);
 
-/// Groups writes into commits and sends one commit at a time. A commit whose
-/// answer is overdue is sent again with the same rows: at most one copy takes
-/// effect, and the owner's row shows whether one has. Used by the core thread
-/// only.
+/// Groups entries of the log into commits and sends one commit at a time, with
+/// all entries that wait. A commit whose answer is overdue is sent again with
+/// the same rows: at most one copy takes effect, and the owner's row shows
+/// whether one has. Used by the core thread only.
 class cell_journal
 {
 public:
@@ -74,23 +74,48 @@
     /// claim that wrote it was sent at `claim_sent`.
     cell_journal(owner_row owner, std::uint64_t version, time_point claim_sent);
 
-    /// Queues a write, which replaces a queued write of the same row. An empty
-    /// `value` removes the row. `on_durable` runs when the write is confirmed.
-    void write(time_point now, const std::string& table, const std::string& key,
-               std::optional<std::string> value, callback on_durable = {});
-    /// Removes a row without urgency: the removal fills space that is left in
-    /// a commit, unless a write of the row is queued, which it replaces.
-    void remove_lazily(time_point now, const std::string& table,
-                       const std::string& key);
-    /// Runs `done` when all writes queued so far are confirmed, or at once when
-    /// there are none. Lazy removals that no commit carries yet are not waited
-    /// for.
+    /// Takes a row of the log of earlier owners. Precondition: see
+    /// `cell_log::add_row`; nothing was appended yet.
+    void load_log_row(std::uint64_t number, std::vector<log_entry> entries)
+    {
+        log_.add_row(number, std::move(entries));
+    }
+    /// Drops the loaded rows, which are then loaded again.
+    void reset_log()
+    {
+        log_ = {};
+    }
+    /// The log as it is in the store.
+    const cell_log& log() const
+    {
+        return log_;
+    }
+
+    /// Queues an entry, which replaces a queued one of the same kind and job.
+    /// The end of a job replaces its queued progress too. `on_durable` runs
+    /// when the entry is confirmed. Precondition: `entry.kind` is not
+    /// `forgotten`.
+    void append(time_point now, log_entry entry, callback on_durable = {});
+    /// Ends all entries of the job, without urgency: with the next commit that
+    /// is sent for another reason.
+    void forget(const std::string& job)
+    {
+        forgotten_jobs_.push_back(job);
+    }
+    /// Queues a write of a row outside the log, which replaces a queued one.
+    void write_row(const std::string& table, const std::string& key,
+                   std::string value);
+    /// Runs `done` when all entries queued so far are confirmed, or at once
+    /// when there are none.
     void when_durable(callback done);
-    /// True when a write of the row is queued and is in no commit yet.
-    bool is_queued(const std::string& table, const std::string& key) const;
-    /// Drops a queued write, which then never takes effect. Writes that are
-    /// already in a commit stay.
-    void cancel_queued(const std::string& table, const std::string& key);
+    /// True when the entry is queued and is in no commit yet.
+    bool is_queued(log_entry_kind kind, const std::string& job) const
+    {
+        return queued_.count({kind, job}) > 0;
+    }
+    /// Drops a queued entry, which then never takes effect, and its callback.
+    /// An entry that is already in a commit stays.
+    void cancel_queued(log_entry_kind kind, const std::string& job);
 
     /// Returns the commit, or the copy of one, that is due now; `op` names it.
     /// Returns nothing when none is due.
@@ -123,29 +148,23 @@
     /// True when the current commit has had no effect for
     /// `cell_store_failure_timeout`.
     bool is_store_failing(time_point now) const;
-    /// Number of writes that are in no commit yet, without lazy removals. For
-    /// tests and metrics.
-    std::size_t queued_writes() const
-    {
-        return queue_.size();
-    }
     /// Time at which a commit was last confirmed.
     time_point last_commit_at() const
     {
         return last_commit_at_;
     }
-    /// Number of queued writes that are in no commit yet.
+    /// Number of queued entries that are in no commit yet.
     std::size_t queued_count() const
     {
         return queue_.size();
     }
-    /// Time at which the oldest write that is not confirmed was queued; `now`
+    /// Time at which the oldest entry that is not confirmed was queued; `now`
     /// when there is none.
-    time_point oldest_write_at(time_point now) const;
-    /// Number of writes that have been confirmed.
-    std::uint64_t confirmed_writes() const
+    time_point oldest_entry_at(time_point now) const;
+    /// Number of entries that have been confirmed.
+    std::uint64_t confirmed_entries() const
     {
-        return confirmed_writes_;
+        return confirmed_entries_;
     }
     /// Smoothed time from a commit to its answer.
     duration answer_time() const
@@ -161,12 +180,27 @@
     }
 
 private:
-    struct queued_write
+    using entry_key = std::pair<log_entry_kind, std::string>;
+    struct queued_entry
     {
-        row_write write;
+        log_entry entry;
         std::vector<callback> on_durable;
         time_point queued_at;
+        std::uint64_t sequence = 0; ///< Rises along the queue.
     };
+    /// Entries of one row of the current commit.
+    struct batch_row
+    {
+        std::uint64_t number = 0;
+        std::vector<log_entry> entries;
+    };
+    /// Runs when all entries up to `sequence` are confirmed.
+    struct barrier
+    {
+        std::uint64_t sequence = 0;
+        callback done;
+    };
+
     /// One transmission of the current commit.
     struct commit_copy
     {
@@ -181,6 +215,12 @@
                             { return each.op == op; });
     }
 
+    /// Makes the rows of the next commit from all that waits.
+    void build_commit(time_point now);
+    /// Adds an entry to the last row of the commit, or to a new one when that
+    /// is full.
+    void add_to_batch(std::string& row_text, const log_entry& entry);
+    void finish_batch_row(std::string& row_text);
     /// Ends the current commit, which wrote the owner's row at `version`.
     void on_committed(time_point now, std::uint64_t version);
     void update_answer_time(duration time);
@@ -189,10 +229,18 @@
 
     owner_row owner_;
     std::uint64_t version_;
-    std::deque<queued_write> queue_;
-    std::vector<queued_write> batch_; ///< Writes of the current commit.
-    std::deque<queued_write> lazy_removals_;
-    std::vector<commit_copy> in_flight_; ///< Copies without an answer.
+    cell_log log_;
+    std::list<queued_entry> queue_;
+    std::map<entry_key, std::list<queued_entry>::iterator> queued_;
+    std::uint64_t last_sequence_ = 0;
+    std::deque<barrier> barriers_;
+    std::vector<std::string> forgotten_jobs_;
+    std::map<std::pair<std::string, std::string>, std::string> queued_rows_;
+    std::list<queued_entry> batch_; ///< Queued entries in the current commit.
+    std::vector<batch_row> batch_rows_;
+    std::vector<std::uint64_t> removed_rows_; ///< By the current commit.
+    std::vector<row_write> commit_writes_;    ///< Without the owner's row.
+    std::vector<commit_copy> in_flight_;      ///< Copies without an answer.
     /// The current commit was sent and is not known to have taken effect.
     bool commit_pending_ = false;
     bool release_requested_ = false;
@@ -203,7 +251,7 @@
     time_point first_sent_at_; ///< Time of the first copy of the commit.
     time_point ownership_confirmed_at_;
     unsigned consecutive_failures_ = 0;
-    std::uint64_t confirmed_writes_ = 0;
+    std::uint64_t confirmed_entries_ = 0;
     bool released_ = false;
 };
 
--- a/src/cell_limits_p.hpp
+++ b/src/cell_limits_p.hpp
@@ -9,9 +9,19 @@
 
 // Cell: ownership and commits (docs/platform-design.md).
 
-/// Maximum number of writes in one commit, besides the owner's row and the
-/// condition on its version. The store service accepts 100 entries.
-constexpr std::size_t cell_max_commit_rows = 96;
+/// Size at which a row of the log is full. The store service takes 64 KiB in
+/// base64; one entry more than fills the row is at most 12 KB long.
+constexpr std::size_t cell_max_log_row_bytes = 45000;
+/// Added to the size of a row of the log, so that many small rows are rewritten
+/// into few: a takeover reads 500 rows in a call.
+constexpr std::size_t cell_log_row_overhead = 512;
+/// The log may be this much larger than twice its entries in force.
+constexpr std::size_t cell_log_spare_bytes = std::size_t{512} * 1024;
+/// Limits the entries in force that one commit writes again.
+constexpr std::size_t cell_max_rewritten_bytes = std::size_t{32} * 1024;
+/// Maximum number of rows of the log that one commit removes. The store service
+/// accepts 100 entries in all.
+constexpr std::size_t cell_max_removed_rows = 60;
 /// Minimum time between two commits. Groups writes and limits the number of
 /// store calls, each of which is billed.
 constexpr auto cell_min_commit_interval = 12ms;
@@ -32,6 +42,12 @@
 /// The store counts as failing when the effect of a commit has been unknown for
 /// this long: twice the answer time of a slow store.
 constexpr auto cell_store_failure_timeout = 500ms;
+/// Used in place of `cell_store_failure_timeout` when it is longer: a multiple
+/// of the time in which the store has answered commits.
+constexpr int cell_store_failure_factor = 4;
+/// Longest time without effect of a commit for which the store does not count
+/// as failing.
+constexpr auto cell_max_store_failure_timeout = 1200ms;
 /// Maximum delay before a failed commit is sent again.
 constexpr auto cell_max_commit_retry_delay = 500ms;
 /// An owner without other writes rewrites its row at this interval, so that
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -25,11 +25,11 @@
 /// The owner reports its load when a batch of events takes this long, which
 /// delays its heartbeats.
 constexpr auto min_reported_batch = std::chrono::milliseconds(200);
-/// The owner reports its load when a write waits this long: callers of urgent
-/// work notice it.
-constexpr auto min_reported_write_age = std::chrono::milliseconds(250);
-/// Limits the rows of ended jobs that one cleanup removes.
-constexpr std::size_t max_rows_per_cleanup = 300;
+/// The owner reports its load when an entry of the log waits this long: callers
+/// of urgent work notice it.
+constexpr auto min_reported_entry_age = std::chrono::milliseconds(250);
+/// Limits the ended jobs that one cleanup forgets.
+constexpr std::size_t max_jobs_per_cleanup = 300;
 
 } // namespace
 
@@ -192,8 +192,8 @@
     auto text = job->spec_text();
     jobs_.emplace(id, std::move(job));
     submitters_[id].push_back(from);
-    journal_.write(now, cell_table::job, id, std::move(text),
-                   [this, id] { on_submission_durable(id); });
+    journal_.append(now, {log_entry_kind::job, id, std::move(text)},
+                    [this, id] { on_submission_durable(id); });
     dispatch_due_ = true;
 }
 
@@ -228,12 +228,12 @@
     for (auto it = jobs_.begin(); it != jobs_.end();)
     {
         const auto& id = it->first;
-        if (it->second->durable || !journal_.is_queued(cell_table::job, id))
+        if (it->second->durable || !journal_.is_queued(log_entry_kind::job, id))
         {
             ++it;
             continue;
         }
-        journal_.cancel_queued(cell_table::job, id);
+        journal_.cancel_queued(log_entry_kind::job, id);
         for (const auto& each : take_submitters(id))
             refuse(now, each, id, result_code::store_unavailable,
                    config::cell_retry_after.count());
@@ -333,26 +333,17 @@
     const auto& id = job.id();
     const auto phase = job.phase();
     dirty_jobs_.erase(id);
-    journal_.write(
-        now, cell_table::ended, id,
-        json{{"p", to_string(phase)}, {"t", context_.wall_clock_ms}}.dump(),
+    journal_.append(
+        now,
+        {log_entry_kind::ended, id,
+         json{{"p", to_string(phase)}, {"t", context_.wall_clock_ms}}.dump()},
         [this, now, id, phase] { on_final_phase_durable(now, id, phase); });
 }
 
-/// Removes the rows of a job whose final phase is durable. Must not be called
-/// earlier: a removal replaces a queued write of the same row, so it could be
-/// committed before the final phase.
-void cell_owner::discard_job_rows(time_point now, const std::string& id)
-{
-    journal_.remove_lazily(now, cell_table::job, id);
-    journal_.remove_lazily(now, cell_table::progress, id);
-}
-
 void cell_owner::on_final_phase_durable(time_point now, const std::string& id,
                                         job_phase phase)
 {
     ended_jobs_[id] = {phase, context_.wall_clock_ms};
-    discard_job_rows(now, id);
     const auto found = jobs_.find(id);
     if (found != jobs_.end())
     {
@@ -385,7 +376,8 @@
         if (is_final(job->phase()))
             write_final_phase(now, *job);
         else
-            journal_.write(now, cell_table::progress, id, job->progress_text());
+            journal_.append(
+                now, {log_entry_kind::progress, id, job->progress_text()});
     }
     const auto ids = std::exchange(workers_to_acknowledge_, {});
     for (const auto& id : ids)
@@ -423,22 +415,22 @@
 {
     auto figures = std::exchange(load_, {});
     figures.commits = row().sequence - reported_commits_;
-    figures.writes = journal_.confirmed_writes() - reported_writes_;
+    figures.entries = journal_.confirmed_entries() - reported_entries_;
     reported_commits_ = row().sequence;
-    reported_writes_ = journal_.confirmed_writes();
-    const auto oldest_write_age = now - journal_.oldest_write_at(now);
+    reported_entries_ = journal_.confirmed_entries();
+    const auto oldest_entry_age = now - journal_.oldest_entry_at(now);
     if (figures.longest_batch < min_reported_batch &&
-        oldest_write_age < min_reported_write_age)
+        oldest_entry_age < min_reported_entry_age)
         return;
     context_.log(
         log_code::cell_owner_behind,
-        fmt::format("batches={} longest_ms={} commits={} writes={} "
-                    "writes_queued={} oldest_write_ms={} store_answer_ms={} "
+        fmt::format("batches={} longest_ms={} commits={} entries={} "
+                    "entries_queued={} oldest_entry_ms={} store_answer_ms={} "
                     "polls={} new_ends={} repeated_ends={} jobs={} calls={} "
                     "epoch={}",
                     figures.batches, figures.longest_batch / milliseconds(1),
-                    figures.commits, figures.writes, journal_.queued_count(),
-                    oldest_write_age / milliseconds(1),
+                    figures.commits, figures.entries, journal_.queued_count(),
+                    oldest_entry_age / milliseconds(1),
                     journal_.answer_time() / milliseconds(1), figures.polls,
                     figures.new_ends, figures.repeated_ends, jobs_.size(),
                     pending_calls_.size(), row().epoch));
@@ -486,14 +478,14 @@
             std::chrono::milliseconds(config::cell_ended_job_retention).count();
         std::size_t removed = 0;
         for (auto it = ended_jobs_.begin();
-             it != ended_jobs_.end() && removed < max_rows_per_cleanup;)
+             it != ended_jobs_.end() && removed < max_jobs_per_cleanup;)
         {
             if (context_.wall_clock_ms - it->second.unix_ms <= retention_ms)
             {
                 ++it;
                 continue;
             }
-            journal_.remove_lazily(now, cell_table::ended, it->first);
+            journal_.forget(it->first);
             it = ended_jobs_.erase(it);
             ++removed;
         }
--- a/src/cell_owner_load.cpp
+++ b/src/cell_owner_load.cpp
@@ -23,18 +23,32 @@
 
 } // namespace
 
+/// Returns nothing when the text of the entry can not be read.
+std::optional<cell_owner::ended_job>
+cell_owner::parse_ended_job(const std::string& text)
+{
+    const auto value = json::parse(text, nullptr, false);
+    try
+    {
+        const auto phase = parse_job_phase(value.at("p").get<std::string>());
+        if (phase)
+            return ended_job{*phase, value.at("t").get<std::int64_t>()};
+    }
+    catch (const json::exception&)
+    {
+        // The caller logs the row.
+    }
+    return std::nullopt;
+}
+
 std::string cell_owner::table_name(state_table table) const
 {
     switch (table)
     {
     case state_table::owner:
         return cell_table::owner;
-    case state_table::jobs:
-        return cell_table::job;
-    case state_table::progress:
-        return cell_table::progress;
-    case state_table::ended:
-        return cell_table::ended;
+    case state_table::log:
+        return cell_table::log;
     case state_table::workers:
     case state_table::count:
         break;
@@ -53,6 +67,8 @@
 {
     if (result.status != store_status::ok)
     {
+        if (table == state_table::log)
+            journal_.reset_log();
         scan_table(table, "");
         return;
     }
@@ -86,11 +102,14 @@
 {
     try
     {
-        const auto value = json::parse(row.value, nullptr, false);
         switch (table)
         {
         case state_table::owner:
-            if (row.key == leased_workers_key && value.is_array())
+        {
+            const auto value = row.key == leased_workers_key
+                                   ? json::parse(row.value, nullptr, false)
+                                   : json();
+            if (value.is_array())
             {
                 for (const auto& id : value)
                     if (id.is_string())
@@ -98,28 +117,9 @@
                 leased_workers_ = unresolved_workers_;
             }
             break;
-        case state_table::jobs:
-            if (auto job = cell_job::from_text(row.key, row.value))
-            {
-                job->durable = true;
-                jobs_.emplace(row.key, std::move(job));
-            }
-            else
-                context_.log(log_code::cell_row_unreadable,
-                             fmt::format("job={}", row.key));
-            break;
-        case state_table::progress:
-            loaded_progress_[row.key] = row.value;
-            break;
-        case state_table::ended:
-            if (value.is_object())
-            {
-                const auto phase =
-                    parse_job_phase(value.value("p", std::string()));
-                if (phase)
-                    ended_jobs_[row.key] = {*phase,
-                                            value.value("t", std::int64_t{0})};
-            }
+        }
+        case state_table::log:
+            load_log_row(row);
             break;
         case state_table::workers:
         case state_table::count:
@@ -135,29 +135,72 @@
     }
 }
 
-void cell_owner::finish_load(time_point now)
+void cell_owner::load_log_row(const carobcourse::row& row)
 {
-    loaded_ = true;
-    for (auto it = jobs_.begin(); it != jobs_.end();)
+    const auto number = parse_log_row_key(row.key);
+    std::size_t unreadable = number ? 0 : 1;
+    auto entries = number ? parse_log_row(row.value, unreadable)
+                          : std::vector<log_entry>();
+    // An end that can not be read must not take the job out of the log.
+    const auto last =
+        std::remove_if(entries.begin(), entries.end(),
+                       [](const log_entry& entry)
+                       {
+                           return entry.kind == log_entry_kind::ended &&
+                                  !parse_ended_job(entry.text);
+                       });
+    unreadable += static_cast<std::size_t>(entries.end() - last);
+    entries.erase(last, entries.end());
+    if (unreadable > 0)
+        context_.log(log_code::cell_row_unreadable,
+                     fmt::format("table={} key={} entries={}", row.table,
+                                 row.key, unreadable));
+    if (number)
+        journal_.load_log_row(*number, std::move(entries));
+}
+
+void cell_owner::load_log_entry(const log_entry& entry)
+{
+    bool readable = true;
+    switch (entry.kind)
     {
-        if (ended_jobs_.count(it->first))
+    case log_entry_kind::ended:
+        if (const auto ended = parse_ended_job(entry.text))
+            ended_jobs_[entry.job] = *ended;
+        break;
+    case log_entry_kind::job:
+        if (auto job = cell_job::from_text(entry.job, entry.text))
         {
-            discard_job_rows(now, it->first);
-            it = jobs_.erase(it);
-            continue;
+            job->durable = true;
+            jobs_.emplace(entry.job, std::move(job));
         }
-        auto& job = *it->second;
-        const auto progress = loaded_progress_.find(job.id());
-        if (progress != loaded_progress_.end() &&
-            !job.read_progress(progress->second))
-            context_.log(log_code::cell_row_unreadable,
-                         fmt::format("progress={}", job.id()));
-        job.add_due_occurrences(context_.wall_clock_ms);
-        job.mark_unresolved();
-        set_objective(now, job);
-        ++it;
+        else
+            readable = false;
+        break;
+    case log_entry_kind::progress:
+        if (auto* job = find_job(entry.job))
+            readable = job->read_progress(entry.text);
+        break;
+    case log_entry_kind::forgotten:
+        break;
+    }
+    if (!readable)
+        context_.log(log_code::cell_row_unreadable,
+                     fmt::format("kind={} job={}",
+                                 static_cast<char>(entry.kind), entry.job));
+}
+
+void cell_owner::finish_load(time_point now)
+{
+    loaded_ = true;
+    journal_.log().for_each([this](const log_entry& entry)
+                            { load_log_entry(entry); });
+    for (auto& [id, job] : jobs_)
+    {
+        job->add_due_occurrences(context_.wall_clock_ms);
+        job->mark_unresolved();
+        set_objective(now, *job);
     }
-    loaded_progress_.clear();
     for (const auto& [id, worker] : workers_.all())
         unresolved_workers_.insert(id);
     context_.log(log_code::cell_loaded,
@@ -171,7 +214,7 @@
     const auto deferred = std::exchange(deferred_requests_, {});
     for (const auto& [host, item] : deferred)
         on_caller_request(now, host, item);
-    write_leased_workers(now);
+    write_leased_workers();
     dispatch_due_ = true;
 }
 
@@ -192,7 +235,7 @@
     job.hard_deadline = start + response_time * late_end_factor;
 }
 
-void cell_owner::write_leased_workers(time_point now)
+void cell_owner::write_leased_workers()
 {
     std::set<std::string> ids;
     for (const auto& [id, worker] : workers_.all())
@@ -200,8 +243,8 @@
     if (ids == leased_workers_)
         return;
     leased_workers_ = std::move(ids);
-    journal_.write(now, cell_table::owner, leased_workers_key,
-                   json(leased_workers_).dump());
+    journal_.write_row(cell_table::owner, leased_workers_key,
+                       json(leased_workers_).dump());
 }
 
 } // namespace carobcourse
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -156,10 +156,10 @@
     {
         return jobs_.size();
     }
-    /// Returns the number of writes that are in no commit yet.
-    std::size_t queued_writes() const
+    /// Returns the number of entries of the log that are in no commit yet.
+    std::size_t queued_entries() const
     {
-        return journal_.queued_writes();
+        return journal_.queued_count();
     }
 
 private:
@@ -236,13 +236,17 @@
         std::uint64_t step_key = 0;
         std::uint32_t waiting_tasks = 0;
     };
+    /// Final phase of a job, and when it ended.
+    struct ended_job
+    {
+        job_phase phase = job_phase::completed;
+        std::int64_t unix_ms = 0;
+    };
     /// Tables from which a new owner reads the state of the cell.
     enum class state_table : std::uint8_t
     {
         owner,
-        jobs,
-        progress,
-        ended,
+        log,
         workers,
         count
     };
@@ -259,9 +263,13 @@
                    const std::vector<carobcourse::row>& rows);
     void load_row(time_point now, state_table table,
                   const carobcourse::row& row);
+    static std::optional<ended_job> parse_ended_job(const std::string& text);
+    void load_log_row(const carobcourse::row& row);
+    /// Creates the state of a job from an entry of the log.
+    void load_log_entry(const log_entry& entry);
     void finish_load(time_point now);
     void set_objective(time_point now, cell_job& job);
-    void write_leased_workers(time_point now);
+    void write_leased_workers();
 
     // Requests of callers and writes to the store (cell_owner.cpp).
     void submit(time_point now, const reply_address& from,
@@ -282,7 +290,6 @@
     void update_store_state(time_point now);
     void write_dirty_jobs(time_point now);
     void write_final_phase(time_point now, cell_job& job);
-    void discard_job_rows(time_point now, const std::string& id);
     void on_final_phase_durable(time_point now, const std::string& id,
                                 job_phase phase);
     void count_waiting_jobs();
@@ -397,16 +404,10 @@
     bool loaded_ = false;
     std::map<op_id, state_table> pending_scans_;
     std::set<state_table> loaded_tables_;
-    std::map<std::string, std::string> loaded_progress_;
     time_point claimed_at_;
     std::vector<std::pair<std::string, nlohmann::json>> deferred_requests_;
 
     std::map<std::string, std::unique_ptr<cell_job>> jobs_;
-    struct ended_job
-    {
-        job_phase phase = job_phase::completed;
-        std::int64_t unix_ms = 0;
-    };
     std::map<std::string, ended_job> ended_jobs_;
     std::map<std::string, std::vector<reply_address>> submitters_;
     std::map<reply_address, refused_submission> refused_submissions_;
@@ -432,12 +433,12 @@
         /// Ends that workers have listed again, as they are not acknowledged.
         std::uint64_t repeated_ends = 0;
         std::uint64_t commits = 0;
-        std::uint64_t writes = 0; ///< Confirmed writes.
+        std::uint64_t entries = 0; ///< Confirmed entries of the log.
     };
     load_figures load_;
     /// Totals of the journal when `load_` began.
     std::uint64_t reported_commits_ = 0;
-    std::uint64_t reported_writes_ = 0;
+    std::uint64_t reported_entries_ = 0;
     time_point next_load_report_;
     /// Number of batches over which `lag_` is averaged.
     static constexpr int lag_samples = 4;
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -61,7 +61,7 @@
         apply_worker_row(now, row.key, row.value);
     for (const auto& id : result.removed)
         on_worker_unlisted(now, id);
-    write_leased_workers(now);
+    write_leased_workers();
     return true;
 }
 
@@ -259,7 +259,7 @@
         workers_to_acknowledge_.erase(id);
     }
     if (!removed.empty())
-        write_leased_workers(now);
+        write_leased_workers();
 }
 
 bool cell_owner::update_worker(time_point now, cell_worker& worker)
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -440,32 +440,34 @@
                 each.inbox.emplace_back(peer_state{name, false});
     }
     /// Returns the phase that the store holds for an ended job, and nothing for
-    /// a job without a stored final phase.
+    /// a job without a stored final phase. Reads the whole log.
     std::optional<job_phase> stored_phase(const std::string& job) const
     {
-        const auto table = store.tables.find(cell_table::ended);
-        if (table == store.tables.end())
-            return std::nullopt;
-        const auto found = table->second.find(job);
-        if (found == table->second.end() || found->second.removed)
-            return std::nullopt;
-        const auto value =
-            nlohmann::json::parse(found->second.value, nullptr, false);
-        const auto phase = value.is_object() ? value.find("p") : value.end();
-        if (phase == value.end() || !phase->is_string())
-            return std::nullopt;
-        return parse_job_phase(phase->get<std::string>());
+        cell_log log;
+        const auto table = store.tables.find(cell_table::log);
+        if (table != store.tables.end())
+            for (const auto& [key, row] : table->second)
+            {
+                std::size_t unreadable = 0;
+                const auto number = parse_log_row_key(key);
+                if (number && !row.removed)
+                    log.add_row(*number, parse_log_row(row.value, unreadable));
+            }
+        std::optional<job_phase> phase;
+        log.for_each(
+            [&](const log_entry& entry)
+            {
+                if (entry.kind == log_entry_kind::ended && entry.job == job)
+                    phase = phase_of(entry);
+            });
+        return phase;
     }
-    /// Passes each job whose final phase the store holds.
+    /// Passes each job whose final phase has been stored.
     void for_each_ended_job(
         const std::function<void(const std::string& job)>& action) const
     {
-        const auto table = store.tables.find(cell_table::ended);
-        if (table == store.tables.end())
-            return;
-        for (const auto& [job, row] : table->second)
-            if (!row.removed)
-                action(job);
+        for (const auto& job : ended_jobs_)
+            action(job);
     }
     /// Returns for each job with completed tasks when the last one completed.
     std::map<std::string, time_point> last_completions() const
@@ -754,6 +756,30 @@
             slot.inbox.push_back(std::move(event));
     }
 
+    static std::optional<job_phase> phase_of(const log_entry& entry)
+    {
+        const auto value = nlohmann::json::parse(entry.text, nullptr, false);
+        const auto phase = value.is_object() ? value.find("p") : value.end();
+        if (phase == value.end() || !phase->is_string())
+            return std::nullopt;
+        return parse_job_phase(phase->get<std::string>());
+    }
+    void record_ended_jobs(const store_commit& commit)
+    {
+        for (const auto& write : commit.writes)
+        {
+            if (write.table != cell_table::log || !write.value)
+                continue;
+            std::size_t unreadable = 0;
+            for (const auto& entry : parse_log_row(*write.value, unreadable))
+            {
+                if (entry.kind == log_entry_kind::forgotten)
+                    ended_jobs_.erase(entry.job);
+                else if (entry.kind == log_entry_kind::ended && phase_of(entry))
+                    ended_jobs_.insert(entry.job);
+            }
+        }
+    }
     bool reaches_store(const simulated_host& slot) const
     {
         return !store_down && slot.reaches_store;
@@ -1196,6 +1222,7 @@
     std::map<std::string, resources> amounts;
 
 private:
+    std::set<std::string> ended_jobs_;
     std::map<std::string, time_point> advice_free_at_;
     std::map<cell_task_id, completion> last_completion_;
     std::priority_queue<timer> timers_;
--- a/tests/slow_store_cell.hpp
+++ b/tests/slow_store_cell.hpp
@@ -192,7 +192,7 @@
                 name, std::chrono::duration<double>(slot.busy_time).count(),
                 slot.longest_batch.count() / 1000,
                 slot.host->owner()->job_count(),
-                slot.host->owner()->queued_writes());
+                slot.host->owner()->queued_entries());
         }
         for (auto& [host, slot] : hosts)
         {
--- a/tests/test_cell_journal.cpp
+++ b/tests/test_cell_journal.cpp
@@ -1,6 +1,7 @@
 // Tests the commits of the cell's owner when answers are late or lost
 // or the store refuses them.
 #include <catch2/catch.hpp>
+#include <map>
 #include <optional>
 
 #include "cell_journal_p.hpp"
@@ -18,6 +19,12 @@
     std::uint64_t next_op = 1;
     std::uint64_t version = 5;
 
+    void append(const std::string& job, const std::string& text,
+                cell_journal::callback on_durable = {})
+    {
+        journal.append(now, {log_entry_kind::job, job, text},
+                       std::move(on_durable));
+    }
     std::optional<store_commit> next_commit()
     {
         return journal.next_commit(now, op_id{component::config, next_op++});
@@ -53,15 +60,14 @@
     journal_fixture fixture;
     for (int i = 0; i < 20; ++i)
     {
-        fixture.journal.write(fixture.now, "job", "a", "x");
+        fixture.append("a", "x");
         const auto commit = fixture.wait_for_commit(milliseconds(50));
         REQUIRE(commit);
         fixture.now += milliseconds(5);
         CHECK(fixture.confirm(*commit) == cell_journal::outcome::committed);
     }
     bool durable = false;
-    fixture.journal.write(fixture.now, "job", "a", "y",
-                          [&] { durable = true; });
+    fixture.append("a", "y", [&] { durable = true; });
     const auto first = fixture.wait_for_commit(milliseconds(50));
     REQUIRE(first);
     const auto sent = fixture.now;
@@ -91,7 +97,7 @@
           "intervals")
 {
     journal_fixture fixture;
-    fixture.journal.write(fixture.now, "job", "a", "x");
+    fixture.append("a", "x");
     std::vector<time_point> sent;
     for (int ms = 0; ms < 900; ++ms)
     {
@@ -107,7 +113,7 @@
           "second")
 {
     journal_fixture fixture;
-    fixture.journal.write(fixture.now, "job", "a", "x");
+    fixture.append("a", "x");
     const auto first = fixture.wait_for_commit(milliseconds(50));
     REQUIRE(first);
     const auto sent = fixture.now;
@@ -139,7 +145,7 @@
     journal_fixture fixture;
     const auto answer_after = [&fixture](milliseconds time)
     {
-        fixture.journal.write(fixture.now, "job", "a", "x");
+        fixture.append("a", "x");
         const auto commit = fixture.wait_for_commit(milliseconds(50));
         REQUIRE(commit);
         int copies = 0;
@@ -159,23 +165,142 @@
         CHECK(answer_after(milliseconds(480)) == 0);
 }
 
-TEST_CASE("Lazy removals only fill the space that writes leave in a commit")
+TEST_CASE("A commit takes all entries that wait")
 {
+    // Guards against a limit of rows a commit, behind which final phases wait.
     journal_fixture fixture;
-    for (int i = 0; i < 60; ++i)
-        fixture.journal.remove_lazily(fixture.now, "job", std::to_string(i));
-    for (int i = 0; i < 70; ++i)
-        fixture.journal.write(fixture.now, "job", std::to_string(1000 + i),
-                              "x");
-    const auto first = fixture.wait_for_commit(milliseconds(50));
-    REQUIRE(first);
-    // The owner's row, 70 writes and 26 of the 60 removals.
-    CHECK(first->writes.size() == 97);
-    CHECK(first->writes[70].value);
-    CHECK_FALSE(first->writes[71].value);
-    fixture.confirm(*first);
-    fixture.journal.write(fixture.now, "job", "a", "x");
-    const auto second = fixture.wait_for_commit(milliseconds(50));
-    REQUIRE(second);
-    CHECK(second->writes.size() == 36);
+    std::size_t durable = 0;
+    for (int i = 0; i < 3000; ++i)
+        fixture.append(std::to_string(i), std::string(100, 'x'),
+                       [&] { ++durable; });
+    const auto commit = fixture.wait_for_commit(milliseconds(50));
+    REQUIRE(commit);
+    // The service accepts 100 rows of 64 KiB in base64.
+    CHECK(commit->writes.size() <= 100);
+    for (const auto& write : commit->writes)
+        CHECK(write.value->size() <= 48 * 1024);
+    CHECK(fixture.confirm(*commit) == cell_journal::outcome::committed);
+    CHECK(durable == 3000);
+}
+
+TEST_CASE("A final phase replaces the progress that waits")
+{
+    // Guards against a backlog of progress of jobs that have ended meanwhile.
+    journal_fixture fixture;
+    fixture.journal.append(fixture.now, {log_entry_kind::progress, "a", "x"});
+    bool acknowledged = false;
+    fixture.journal.when_durable([&] { acknowledged = true; });
+    fixture.journal.append(fixture.now, {log_entry_kind::ended, "a", "y"});
+    const auto commit = fixture.wait_for_commit(milliseconds(50));
+    REQUIRE(commit);
+    REQUIRE(commit->writes.size() == 2);
+    CHECK(commit->writes[1].value == "e a y\n");
+    CHECK_FALSE(acknowledged);
+    fixture.confirm(*commit);
+    CHECK(acknowledged);
+}
+
+TEST_CASE("A submission that is dropped does not hold back what waits for it")
+{
+    // Guards against acknowledgements that were lost with the queued write
+    // that they were attached to.
+    journal_fixture fixture;
+    fixture.append("a", "x");
+    bool acknowledged = false;
+    fixture.journal.when_durable([&] { acknowledged = true; });
+    fixture.journal.cancel_queued(log_entry_kind::job, "a");
+    const auto commit = fixture.wait_for_commit(milliseconds(500));
+    REQUIRE(commit);
+    CHECK(commit->writes.size() == 1);
+    fixture.confirm(*commit);
+    CHECK(acknowledged);
+}
+
+TEST_CASE("A store that answers slowly does not count as failing")
+{
+    // Guards against refused submissions and a change of the owner while a
+    // store of 300 ms serves commits one after another.
+    journal_fixture fixture;
+    for (int i = 0; i < 5; ++i)
+    {
+        fixture.append("a", "x");
+        const auto commit = fixture.wait_for_commit(milliseconds(50));
+        REQUIRE(commit);
+        const auto end = fixture.now + milliseconds(i == 0 ? 450 : 700);
+        while (fixture.now < end)
+        {
+            fixture.now += milliseconds(1);
+            REQUIRE_FALSE(fixture.journal.is_store_failing(fixture.now));
+        }
+        fixture.confirm(*commit);
+    }
+    fixture.append("a", "x");
+    REQUIRE(fixture.wait_for_commit(milliseconds(50)));
+    fixture.now += milliseconds(1210);
+    CHECK(fixture.journal.is_store_failing(fixture.now));
+}
+
+TEST_CASE("The log stays small and keeps the entries in force")
+{
+    // Guards against a log that grows with the jobs that have ended, against
+    // rows that are removed with entries in force, and against entries that
+    // are in force again after a takeover.
+    journal_fixture fixture;
+    std::map<std::string, std::string> rows;
+    const auto commit = [&]
+    {
+        const auto next = fixture.wait_for_commit(milliseconds(500));
+        REQUIRE(next);
+        CHECK(next->writes.size() <= 100);
+        for (const auto& write : next->writes)
+        {
+            if (write.table != cell_table::log)
+                continue;
+            if (write.value)
+                rows[write.key] = *write.value;
+            else
+                CHECK(rows.erase(write.key) == 1);
+        }
+        fixture.now += milliseconds(5);
+        REQUIRE(fixture.confirm(*next) == cell_journal::outcome::committed);
+    };
+    fixture.append("long", std::string(300, 'l'));
+    std::map<std::string, std::string> expected{
+        {"j long", std::string(300, 'l')}};
+    for (int i = 0; i < 4000; ++i)
+    {
+        const auto job = std::to_string(i);
+        fixture.append(job, std::string(300, 'j'));
+        commit();
+        fixture.journal.append(fixture.now,
+                               {log_entry_kind::ended, job, "end" + job});
+        expected["e " + job] = "end" + job;
+        if (i >= 500)
+        {
+            fixture.journal.forget(std::to_string(i - 500));
+            expected.erase("e " + std::to_string(i - 500));
+        }
+        commit();
+    }
+    std::size_t bytes = 0;
+    cell_log loaded;
+    for (const auto& [key, text] : rows)
+    {
+        bytes += text.size();
+        std::size_t unreadable = 0;
+        loaded.add_row(*parse_log_row_key(key),
+                       parse_log_row(text, unreadable));
+        CHECK(unreadable == 0);
+    }
+    std::map<std::string, std::string> found;
+    loaded.for_each(
+        [&](const log_entry& entry)
+        {
+            found[std::string(1, static_cast<char>(entry.kind)) + " " +
+                  entry.job] = entry.text;
+        });
+    CHECK(found == expected);
+    CHECK(bytes < 700 * 1024);
+    // A takeover reads 500 rows in a call.
+    CHECK(rows.size() < 1500);
 }
--- a/tests/test_cell_recovery.cpp
+++ b/tests/test_cell_recovery.cpp
@@ -208,15 +208,24 @@
     cell.submit_jobs(1, 2, cell.non_owner());
     cell.run(milliseconds(200));
     const std::string deep(30000, '[');
-    for (const auto* table : {cell_table::job, cell_table::progress,
-                              cell_table::ended, cell_table::member})
+    for (const auto* table : {cell_table::log, cell_table::member})
     {
         cell.store.put(table, "x1", R"({"address":7,"p":7,"t":"a","c":1})");
         cell.store.put(table, "x2", deep);
         cell.store.put(table, "x3", deep + std::string(30000, ']'));
         cell.store.put(table, "x4", "7");
+        cell.store.put(table, std::string(20, '9'), "j a {}");
     }
-    cell.store.put(cell_table::ended, "x5", R"({"p":"completed","t":"a"})");
+    // Odd lines in a row of the log, the last one with the end of a job that
+    // can not be read.
+    std::string lines = "j\nj \n\nq a {}\n7\n" + deep + "\n";
+    for (const auto* kind : {"j", "p", "e"})
+        for (const auto& text :
+             {std::string("7"), deep, std::string("{\"p\":7,\"t\":\"a\"}"),
+              std::string("{\"p\":\"completed\",\"t\":\"a\"}")})
+            lines += std::string(kind) + " x5 " + text + "\n";
+    lines += "e " + cell.job_id(1) + " {\"p\":\"completed\"}";
+    cell.store.put(cell_table::log, std::string(20, '0'), lines);
     cell.run(milliseconds(1500));
     cell.kill_host(first);
     REQUIRE(cell.run_until(milliseconds(3000),
