Poll a worker of a large cell again only when its ends are acknowledged

While a commit was late, each worker was polled again every 400 ms and listed the same ends again. In a cell of 1,100 workers the wait is now 1 s, as for other polls; a confirmed commit still starts the next poll at once. Cells of 400 workers and less are unchanged.

--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -22,6 +22,16 @@
                       config::cell_poll_wait, config::cell_idle_poll_wait);
 }
 
+/// Load pattern: commits are late, and each poll before the commit lists the
+/// same ends again. A longer delay in a large cell keeps the backlog from
+/// making work of its own.
+milliseconds max_ack_delay(std::size_t workers)
+{
+    return std::clamp(config::cell_poll_wait_per_worker *
+                          static_cast<std::int64_t>(workers),
+                      config::cell_max_ack_delay, config::cell_idle_poll_wait);
+}
+
 } // namespace
 
 // ---------------------------------------------------------------- worker list
@@ -281,7 +291,7 @@
             return true;
     }
     if (worker.last_seen_end > worker.last_durable_end &&
-        now < worker.poll_sent_at + config::cell_max_ack_delay)
+        now < worker.poll_sent_at + max_ack_delay(workers_.all().size()))
         return false;
     if (now >= worker.next_poll_at)
         send_poll(now, worker);
