Find overdue calls by their deadlines

At each tick the owner asked each of its pending calls, some thousand in a large cell, whether its deadline had passed. It now keeps the deadlines in order and looks at those that have passed only. Calls still fail in the order in which they were made.

--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -430,8 +430,7 @@
             dispatch_due_ = true;
         }
     }
-    fail_calls(now, [now](const pending_call& call)
-               { return now >= call.deadline; });
+    fail_overdue_calls(now);
     if (now >= next_waiting_count_)
     {
         next_waiting_count_ = now + waiting_count_interval;
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <queue>
 #include <set>
 #include <string>
 #include <vector>
@@ -299,6 +300,9 @@
     /// answer.
     void fail_calls(time_point now,
                     const std::function<bool(const pending_call&)>& has_failed);
+    /// Ends all calls whose deadline has passed as calls without an answer.
+    void fail_overdue_calls(time_point now);
+    void fail_calls(time_point now, const std::vector<std::uint64_t>& ids);
     /// Returns the host that makes the given attempt of a call to `worker`.
     std::string relay_for(const cell_worker& worker, unsigned attempt) const;
     /// Returns the longest lease that may be granted now; zero when none may
@@ -433,6 +437,12 @@
     /// Tasks in state `unresolved` wait for `unresolved_workers_`.
     bool has_unresolved_tasks_ = true;
     std::map<std::uint64_t, pending_call> pending_calls_;
+    /// Deadlines of the calls by id, the next one first. Calls that have been
+    /// answered stay until their deadline.
+    std::priority_queue<std::pair<time_point, std::uint64_t>,
+                        std::vector<std::pair<time_point, std::uint64_t>>,
+                        std::greater<>>
+        call_deadlines_;
     std::vector<call_relay> relays_;
     /// By data centre; without this host and hosts that are leaving.
     std::map<std::string, relay_group> relay_groups_;
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -147,6 +147,7 @@
     pending.deadline = now + std::chrono::milliseconds(call.timeout_ms) +
                        config::cell_relay_timeout_margin;
     const auto id = call.id;
+    call_deadlines_.emplace(pending.deadline, id);
     pending_calls_.emplace(id, std::move(pending));
     transport_.send_call(relay, call);
     return id;
@@ -209,7 +210,27 @@
     for (const auto& [id, call] : pending_calls_)
         if (has_failed(call))
             failed.push_back(id);
-    for (const auto id : failed)
+    fail_calls(now, failed);
+}
+
+void cell_owner::fail_overdue_calls(time_point now)
+{
+    std::vector<std::uint64_t> overdue;
+    while (!call_deadlines_.empty() && call_deadlines_.top().first <= now)
+    {
+        overdue.push_back(call_deadlines_.top().second);
+        call_deadlines_.pop();
+    }
+    // Independent of the deadlines, so that decisions follow the order in which
+    // the calls were made.
+    std::sort(overdue.begin(), overdue.end());
+    fail_calls(now, overdue);
+}
+
+void cell_owner::fail_calls(time_point now,
+                            const std::vector<std::uint64_t>& ids)
+{
+    for (const auto id : ids)
     {
         worker_answer no_answer;
         no_answer.id = id;
