Write calls to other hosts without a JSON value in between

The owner of a large cell sends some 3,000 calls a second through other hosts. For each it built a JSON object with a map node and two texts for each member, moved it into an array and walked it to write CBOR. Calls are now written as CBOR at once, with the same bytes' meaning, so that hosts of the version before read them; the other items are encoded when they are posted.

--- a/src/cell_codec.cpp
+++ b/src/cell_codec.cpp
@@ -1,5 +1,7 @@
 #include "cell_codec_p.hpp"
 
+#include <type_traits>
+
 namespace carobcourse
 {
 
@@ -83,6 +85,62 @@
     return step;
 }
 
+// Major types of RFC 8949.
+constexpr unsigned cbor_unsigned = 0;
+constexpr unsigned cbor_negative = 1;
+constexpr unsigned cbor_text = 3;
+constexpr unsigned cbor_array = 4;
+constexpr unsigned cbor_map = 5;
+
+/// Appends CBOR to a text.
+class cbor_writer
+{
+public:
+    explicit cbor_writer(std::string& out) : out_(out) {}
+
+    void put_head(unsigned major, std::uint64_t argument)
+    {
+        constexpr std::uint64_t max_direct = 23;
+        constexpr unsigned first_sized = 24;
+        if (argument <= max_direct)
+        {
+            put_byte(major << 5U | static_cast<unsigned>(argument));
+            return;
+        }
+        // The argument takes 1, 2, 4 or 8 bytes, the highest first.
+        unsigned size_code = 0;
+        while (size_code < 3 && argument >> (8U << size_code) != 0)
+            ++size_code;
+        put_byte(major << 5U | (first_sized + size_code));
+        for (auto shift = 8U << size_code; shift > 0; shift -= 8)
+            put_byte(static_cast<unsigned>(argument >> (shift - 8)) & 0xffU);
+    }
+    void put(std::uint64_t number)
+    {
+        put_head(cbor_unsigned, number);
+    }
+    void put(std::int64_t number)
+    {
+        if (number >= 0)
+            put_head(cbor_unsigned, static_cast<std::uint64_t>(number));
+        else
+            put_head(cbor_negative, static_cast<std::uint64_t>(-(number + 1)));
+    }
+    void put(const std::string& text)
+    {
+        put_head(cbor_text, text.size());
+        out_ += text;
+    }
+
+private:
+    void put_byte(unsigned value)
+    {
+        out_ += static_cast<char>(value);
+    }
+
+    std::string& out_;
+};
+
 } // namespace
 
 json to_json(const job_spec& work)
@@ -109,28 +167,71 @@
     return work;
 }
 
-json to_json(const worker_call& call)
+void append_call_item(const worker_call& call, std::string& message)
 {
-    json value{{"i", call.id},
-               {"o", static_cast<int>(call.command)},
-               {"to", call.timeout_ms}};
-    put_unless_default(value, "w", call.worker);
-    put_unless_default(value, "a", call.address);
-    put_unless_default(value, "e", call.epoch);
+    cbor_writer item(message);
+    item.put_head(cbor_map, 2);
+    item.put("k");
+    item.put("call");
+    item.put("v");
+    // Members are appended to a text of their own, because their number comes
+    // first.
+    std::string members;
+    cbor_writer value(members);
+    std::size_t count = 0;
+    const auto put = [&](const char* name, const auto& member)
+    {
+        value.put(name);
+        value.put(member);
+        ++count;
+    };
+    const auto put_if_set = [&put](const char* name, const auto& member)
+    {
+        if (!(member == std::decay_t<decltype(member)>{}))
+            put(name, member);
+    };
+    put("i", call.id);
+    put("o", static_cast<std::uint64_t>(call.command));
+    put("to", call.timeout_ms);
+    put_if_set("w", call.worker);
+    put_if_set("a", call.address);
+    put_if_set("e", call.epoch);
     if (!call.task.job.empty())
-        value["t"] = task_to_json(call.task);
-    put_unless_default(value, "r", call.run);
-    put_unless_default(value, "p", call.payload);
-    put_unless_default(value, "c", call.checkpoint);
-    put_unless_default(value, "k", call.ticket);
-    put_unless_default(value, "l", call.lease_until_ms);
-    put_unless_default(value, "n", call.acked_end);
-    put_unless_default(value, "m", call.wait_ms);
+    {
+        value.put("t");
+        value.put_head(cbor_array, 4);
+        value.put(call.task.job);
+        for (const auto number :
+             {call.task.occurrence, call.task.step, call.task.index})
+            value.put(std::uint64_t{number});
+        ++count;
+    }
+    put_if_set("r", std::uint64_t{call.run});
+    put_if_set("p", call.payload);
+    put_if_set("c", call.checkpoint);
+    put_if_set("k", call.ticket);
+    put_if_set("l", call.lease_until_ms);
+    put_if_set("n", call.acked_end);
+    put_if_set("m", call.wait_ms);
     if (call.pace_percent != 100)
-        value["pc"] = call.pace_percent;
+        put("pc", std::int64_t{call.pace_percent});
     if (!call.workers.empty())
-        value["ws"] = call.workers;
-    return value;
+    {
+        value.put("ws");
+        value.put_head(cbor_array, call.workers.size());
+        for (const auto& worker : call.workers)
+            value.put(worker);
+        ++count;
+    }
+    item.put_head(cbor_map, count);
+    message += members;
+}
+
+std::string cbor_array_head(std::size_t count)
+{
+    std::string head;
+    cbor_writer(head).put_head(cbor_array, count);
+    return head;
 }
 
 worker_call worker_call_from_json(const json& value)
--- a/src/cell_codec_p.hpp
+++ b/src/cell_codec_p.hpp
@@ -2,7 +2,9 @@
 /// between entry hosts. Optional members with their default value are left out.
 #pragma once
 
+#include <cstddef>
 #include <nlohmann/json.hpp>
+#include <string>
 
 #include "cell_event_p.hpp"
 #include "cell_types_p.hpp"
@@ -14,7 +16,10 @@
 /// Throws nlohmann::json::exception when `value` is not an encoded job_spec.
 job_spec work_from_json(const nlohmann::json& value);
 
-nlohmann::json to_json(const worker_call& call);
+/// Appends the CBOR encoding of the message item that carries `call`:
+/// {"k": "call", "v": the call}. Most of the owner's messages are calls, so
+/// they are written without a JSON value in between.
+void append_call_item(const worker_call& call, std::string& message);
 /// Throws nlohmann::json::exception when `value` is not an encoded worker_call.
 worker_call worker_call_from_json(const nlohmann::json& value);
 
@@ -23,4 +28,7 @@
 /// worker_answer.
 worker_answer worker_answer_from_json(const nlohmann::json& value);
 
+/// Returns the CBOR head of an array of `count` items.
+std::string cbor_array_head(std::size_t count);
+
 } // namespace carobcourse
--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -88,12 +88,12 @@
     }
     for (const auto& item : std::exchange(local_answers_, {}))
         frontend_.on_answer(now, context_.identity.host, item);
-    for (auto& [host, items] : outbox_)
+    for (const auto& [host, items] : outbox_)
     {
         peer_send message;
         message.to = host;
         message.type = message_type;
-        json::to_cbor(json(std::move(items)), message.payload);
+        message.payload = cbor_array_head(items.count) + items.encoded;
         context_.effects.emplace_back(std::move(message));
     }
     outbox_.clear();
@@ -287,16 +287,20 @@
 
 // ------------------------------------------------------------------ messages
 
-void cell_host::post(const std::string& host, json item)
+void cell_host::post(const std::string& host, const json& item)
 {
-    outbox_[host].push_back(std::move(item));
+    auto& items = outbox_[host];
+    ++items.count;
+    json::to_cbor(item, items.encoded);
 }
 
 void cell_host::send_call(const std::string& host, const worker_call& call)
 {
     if (host != context_.identity.host)
     {
-        post(host, {{"k", "call"}, {"v", to_json(call)}});
+        auto& items = outbox_[host];
+        ++items.count;
+        append_call_item(call, items.encoded);
         return;
     }
     auto own = call;
@@ -312,7 +316,7 @@
     if (host == context_.identity.host)
         local_answers_.push_back(std::move(item));
     else
-        post(host, std::move(item));
+        post(host, item);
 }
 
 cell_frontend::sender cell_host::make_owner_sender(time_point now)
@@ -507,7 +511,7 @@
             {"seen", now <= member.last_ack_at + config::cell_link_timeout}};
         if (owner_->has_waiting_counts())
             heartbeat["w"] = owner_->waiting_by_queue();
-        post(host, std::move(heartbeat));
+        post(host, heartbeat);
     }
 }
 
--- a/src/cell_host_p.hpp
+++ b/src/cell_host_p.hpp
@@ -73,6 +73,13 @@
         std::uint64_t id = 0; ///< Id of the call at the owner.
     };
 
+    /// The items of a message that has not been sent yet.
+    struct message_items
+    {
+        std::size_t count = 0;
+        std::string encoded; ///< Their CBOR encodings, one after the other.
+    };
+
     void on_event(time_point now, const timer_tick&);
     void on_event(time_point now, const wall_clock& clock);
     void on_event(time_point now, const caller_request& request);
@@ -97,7 +104,7 @@
                       const nlohmann::json& item);
     /// Adds an item to the message that is sent to `host` at the end of the
     /// batch of events.
-    void post(const std::string& host, nlohmann::json item);
+    void post(const std::string& host, const nlohmann::json& item);
     /// The returned function holds a reference to this object.
     cell_frontend::sender make_owner_sender(time_point now);
     /// Sends the read or claim that the election asks for, one at a time.
@@ -136,7 +143,7 @@
     std::unique_ptr<cell_owner>
         owner_; ///< Null unless this host owns the cell.
     /// Items to send at the end of the batch of events, by host.
-    std::map<std::string, std::vector<nlohmann::json>> outbox_;
+    std::map<std::string, message_items> outbox_;
     /// Answers of the owner on this host to callers of this host.
     std::vector<nlohmann::json> local_answers_;
     /// Calls to workers in progress, by their id on this host.
