Send heartbeats and commits in the middle of long batches

After a takeover at 1,100 workers other hosts lost the owner and found it again for seconds: its heartbeats came more than 0.7 s late. A host handles everything that has arrived as one batch, and its commits, heartbeats and answers leave at the end of it; the timer tick that sends heartbeats is the last event.

The shell now hands a batch to the host in parts of 200 events, those of the store first, and carries out their effects in between. A host that owns the cell sends a heartbeat in any part when it is 40 ms overdue. The timer tick stays behind the whole batch, because it judges by silence: with answers and acknowledgements still waiting, it would take calls and links for lost. All parts count as one batch in the lag by which the owner refuses jobs.

Shown by the new tests at the host; the effect on a large cell is not measured yet.

--- a/src/cell_event_p.hpp
+++ b/src/cell_event_p.hpp
@@ -233,4 +233,10 @@
 
 using cell_effects = std::vector<cell_effect>;
 
+/// Splits the events that have arrived since the last batch into parts of at
+/// most `config::cell_max_events_per_part`. Results of the store come first;
+/// the order is kept otherwise. Thread safe.
+std::vector<std::vector<cell_event>>
+split_batch(std::vector<cell_event> events);
+
 } // namespace carobcourse
--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -30,6 +30,10 @@
 /// falls linearly to none at `max_useful_processor_share`.
 constexpr auto max_claim_delay = std::chrono::milliseconds(250);
 
+/// A heartbeat that is due is sent with the next timer tick, or without one
+/// after this time.
+constexpr auto max_heartbeat_delay = std::chrono::milliseconds(40);
+
 /// Calls that are still pending this long before the time limit of a stop get
 /// their final answer then.
 constexpr auto final_answer_period = std::chrono::milliseconds(400);
@@ -55,11 +59,15 @@
 }
 
 cell_effects cell_host::handle(time_point now,
-                               const std::vector<cell_event>& events)
+                               const std::vector<cell_event>& events,
+                               bool continues_batch)
 {
-    if (owner_)
-        owner_->record_batch_time(now - last_handled_at_);
-    last_handled_at_ = now;
+    if (!continues_batch)
+    {
+        if (owner_)
+            owner_->record_batch_time(now - last_handled_at_);
+        last_handled_at_ = now;
+    }
     for (const auto& event : events)
     {
         // The last line of defence against input that no decoder refused: the
@@ -77,6 +85,9 @@
     }
     if (owner_)
     {
+        // The next timer tick may wait for the rest of a long batch.
+        if (now >= next_heartbeat_at_ + max_heartbeat_delay)
+            send_heartbeats(now);
         owner_->finish_batch(now);
         if (owner_->has_lost_ownership())
             lose_ownership(now, "another host has claimed the cell");
@@ -492,8 +503,12 @@
             relays.push_back({host, member.data_centre, member.leaving});
     }
     owner_->set_relays(now, std::move(relays));
-    if (now < next_heartbeat_at_)
-        return;
+    if (now >= next_heartbeat_at_)
+        send_heartbeats(now);
+}
+
+void cell_host::send_heartbeats(time_point now)
+{
     next_heartbeat_at_ = now + config::cell_heartbeat_interval;
     const bool store_ok =
         !owner_->is_store_failing() ||
--- a/src/cell_host_p.hpp
+++ b/src/cell_host_p.hpp
@@ -35,8 +35,10 @@
               const external_row_reader& external_rows);
 
     /// Handles `events` in order and returns their effects. `now` must not be
-    /// earlier than in the previous call.
-    cell_effects handle(time_point now, const std::vector<cell_event>& events);
+    /// earlier than in the previous call. `continues_batch` tells that the
+    /// events had arrived when the previous call was made; see `split_batch`.
+    cell_effects handle(time_point now, const std::vector<cell_event>& events,
+                        bool continues_batch = false);
 
     const metrics& counters() const
     {
@@ -122,8 +124,9 @@
     void update_membership(time_point now);
     void on_member_result(time_point now, const store_result& result);
     /// Tells the owner which hosts can make calls for it, and sends heartbeats
-    /// to them. Precondition: this host owns the cell.
+    /// to them when they are due. Precondition: this host owns the cell.
     void run_owner_duties(time_point now);
+    void send_heartbeats(time_point now);
     /// Stops following an owner whose heartbeats have been missing for too
     /// long.
     void check_owner_silence(time_point now);
--- a/src/cell_limits_p.hpp
+++ b/src/cell_limits_p.hpp
@@ -3,10 +3,15 @@
 #pragma once
 
 #include <carobcourse/config.hpp>
+#include <cstddef>
 
 namespace carobcourse::config
 {
 
+/// Maximum number of events that a host handles before it sends what they lead
+/// to. Handling them takes far less than the interval of heartbeats.
+constexpr std::ptrdiff_t cell_max_events_per_part = 200;
+
 // Cell: ownership and commits (docs/platform-design.md).
 
 /// Maximum number of writes in one commit, besides the owner's row and the
--- a/src/shell_cell.cpp
+++ b/src/shell_cell.cpp
@@ -80,7 +80,7 @@
                 events.emplace_back(timer_tick{});
             }
             if (!events.empty())
-                handle(events);
+                handle(std::move(events));
             if (metrics_asked_.exchange(false))
                 publish_metrics();
         }
@@ -89,9 +89,9 @@
         // Calls that were read meanwhile are refused, not dropped.
         while (now() < end)
         {
-            const auto events = ring_.pop_all(tick_period);
+            auto events = ring_.pop_all(tick_period);
             if (!events.empty())
-                handle(events);
+                handle(std::move(events));
             else if (!front_->is_writing())
                 break;
         }
@@ -156,11 +156,16 @@
         metrics_text_ = std::move(text);
     }
 
-    void handle(const std::vector<cell_event>& events)
+    void handle(std::vector<cell_event> events)
     {
-        const auto out = core_->handle(now(), events);
-        for (const auto& each : out)
-            std::visit([this](const auto& e) { carry_out(e); }, each);
+        bool is_first = true;
+        for (const auto& part : split_batch(std::move(events)))
+        {
+            const auto out = core_->handle(now(), part, !is_first);
+            is_first = false;
+            for (const auto& each : out)
+                std::visit([this](const auto& e) { carry_out(e); }, each);
+        }
     }
 
     void carry_out(const caller_answer& answer)
--- /dev/null
+++ b/tests/test_cell_batches.cpp
@@ -0,0 +1,121 @@
+// Long batches of events: what must not wait for their end.
+#include "cell_harness.hpp"
+
+using namespace cell_test;
+
+namespace
+{
+
+/// Hosts to which `effects` send a heartbeat.
+std::set<std::string> heartbeats_to(const cell_effects& effects)
+{
+    std::set<std::string> hosts;
+    for (const auto& effect : effects)
+    {
+        const auto* message = std::get_if<peer_send>(&effect);
+        if (!message)
+            continue;
+        for (const auto& item : nlohmann::json::from_cbor(message->payload))
+            if (item.at("k") == "heartbeat")
+                hosts.insert(message->to);
+    }
+    return hosts;
+}
+
+} // namespace
+
+TEST_CASE("Heartbeats do not wait for the end of a long batch")
+{
+    // Guards against hosts that lose the owner because its timer tick stands
+    // behind thousands of answers.
+    cell_with_owner cell(3);
+    auto& host = *cell.hosts.at(cell.owner()).host;
+    host.handle(cell.now, {});
+    const auto late =
+        cell.now + config::cell_heartbeat_interval + milliseconds(100);
+    CHECK(heartbeats_to(host.handle(late, {wall_clock{}}, true)).size() == 2);
+    CHECK(heartbeats_to(
+              host.handle(late + milliseconds(100), {wall_clock{}}, true))
+              .empty());
+}
+
+TEST_CASE("The parts of a long batch count as one")
+{
+    // Guards against an owner that takes jobs although its events wait for
+    // longer than it allows.
+    cell_with_owner cell(1);
+    auto& host = *cell.hosts.at(cell.owner()).host;
+    auto now = cell.now;
+    host.handle(now, {});
+    std::vector<cell_event> events{wall_clock{1700000000000}};
+    // The store answers, so that submissions are not refused for that.
+    const auto pass = [&](milliseconds time, bool continues_batch)
+    {
+        now += time;
+        auto out = host.handle(now, std::exchange(events, {}), continues_batch);
+        for (const auto& effect : out)
+            if (const auto* commit = std::get_if<store_commit>(&effect))
+                events.emplace_back(cell.store.commit(*commit));
+        return out;
+    };
+    for (int part = 0; part < 22; ++part)
+        pass(milliseconds(50), true);
+    caller_request request;
+    request.id = 1000;
+    request.verb = caller_verb::submit;
+    request.host = "example";
+    request.path = "/batch/" + cell.job_id(1);
+    request.key = "key-big";
+    request.deadline = now + milliseconds(3000);
+    request.work = cell.make_work(1, 1000);
+    events.emplace_back(request);
+    std::vector<result_code> codes;
+    for (const auto& effect : pass(milliseconds(50), false))
+        if (const auto* answer = std::get_if<caller_answer>(&effect))
+            codes.push_back(answer->code);
+    CHECK(codes == std::vector<result_code>{result_code::team_queue_full});
+}
+
+TEST_CASE("Results of the store come first in a long batch")
+{
+    // Guards against commits that wait behind what is many, against parts
+    // that are too long, and against events that are lost or change places.
+    std::vector<cell_event> events;
+    constexpr std::uint64_t answers = 450;
+    for (std::uint64_t i = 0; i < answers; ++i)
+    {
+        worker_answer answer;
+        answer.id = i;
+        events.emplace_back(answer);
+        if (i % 200 == 199)
+        {
+            store_result result;
+            result.version = i;
+            events.emplace_back(result);
+        }
+    }
+    events.emplace_back(timer_tick{});
+    const auto parts = split_batch(std::move(events));
+    std::vector<std::uint64_t> versions;
+    std::vector<std::uint64_t> ids;
+    for (const auto& part : parts)
+    {
+        CHECK(part.size() <= config::cell_max_events_per_part);
+        for (const auto& event : part)
+        {
+            if (const auto* result = std::get_if<store_result>(&event))
+            {
+                CHECK(ids.empty());
+                versions.push_back(result->version);
+            }
+            else if (const auto* answer = std::get_if<worker_answer>(&event))
+                ids.push_back(answer->id);
+        }
+    }
+    REQUIRE(parts.size() == 3);
+    CHECK(std::holds_alternative<timer_tick>(parts.back().back()));
+    CHECK(versions == std::vector<std::uint64_t>{199, 399});
+    CHECK(ids.size() == answers);
+    CHECK(std::is_sorted(ids.begin(), ids.end()));
+    CHECK(split_batch({}).empty());
+}
