--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -30,6 +30,10 @@
 /// falls linearly to none at `max_useful_processor_share`.
 constexpr auto max_claim_delay = std::chrono::milliseconds(250);
 
+/// A heartbeat that is due is sent with the next timer tick, or without one
+/// after this time.
+constexpr auto max_heartbeat_delay = std::chrono::milliseconds(40);
+
 /// Calls that are still pending this long before the time limit of a stop get
 /// their final answer then.
 constexpr auto final_answer_period = std::chrono::milliseconds(400);
@@ -55,11 +59,15 @@
 }
 
 cell_effects cell_host::handle(time_point now,
-                               const std::vector<cell_event>& events)
+                               const std::vector<cell_event>& events,
+                               bool continues_batch)
 {
-    if (owner_)
-        owner_->record_batch_time(now - last_handled_at_);
-    last_handled_at_ = now;
+    if (!continues_batch)
+    {
+        if (owner_)
+            owner_->record_batch_time(now - last_handled_at_);
+        last_handled_at_ = now;
+    }
     for (const auto& event : events)
     {
         // The last line of defence against input that no decoder refused: the
@@ -77,6 +85,9 @@
     }
     if (owner_)
     {
+        // The next timer tick may wait for the rest of a long batch.
+        if (now >= next_heartbeat_at_ + max_heartbeat_delay)
+            send_heartbeats(now);
         owner_->finish_batch(now);
         if (owner_->has_lost_ownership())
             lose_ownership(now, "another host has claimed the cell");
@@ -88,12 +99,12 @@
     }
     for (const auto& item : std::exchange(local_answers_, {}))
         frontend_.on_answer(now, context_.identity.host, item);
-    for (auto& [host, items] : outbox_)
+    for (const auto& [host, items] : outbox_)
     {
         peer_send message;
         message.to = host;
         message.type = message_type;
-        json::to_cbor(json(std::move(items)), message.payload);
+        message.payload = cbor_array_head(items.count) + items.encoded;
         context_.effects.emplace_back(std::move(message));
     }
     outbox_.clear();
@@ -287,16 +298,20 @@
 
 // ------------------------------------------------------------------ messages
 
-void cell_host::post(const std::string& host, json item)
+void cell_host::post(const std::string& host, const json& item)
 {
-    outbox_[host].push_back(std::move(item));
+    auto& items = outbox_[host];
+    ++items.count;
+    json::to_cbor(item, items.encoded);
 }
 
 void cell_host::send_call(const std::string& host, const worker_call& call)
 {
     if (host != context_.identity.host)
     {
-        post(host, {{"k", "call"}, {"v", to_json(call)}});
+        auto& items = outbox_[host];
+        ++items.count;
+        append_call_item(call, items.encoded);
         return;
     }
     auto own = call;
@@ -312,7 +327,7 @@
     if (host == context_.identity.host)
         local_answers_.push_back(std::move(item));
     else
-        post(host, std::move(item));
+        post(host, item);
 }
 
 cell_frontend::sender cell_host::make_owner_sender(time_point now)
@@ -488,8 +503,12 @@
             relays.push_back({host, member.data_centre, member.leaving});
     }
     owner_->set_relays(now, std::move(relays));
-    if (now < next_heartbeat_at_)
-        return;
+    if (now >= next_heartbeat_at_)
+        send_heartbeats(now);
+}
+
+void cell_host::send_heartbeats(time_point now)
+{
     next_heartbeat_at_ = now + config::cell_heartbeat_interval;
     const bool store_ok =
         !owner_->is_store_failing() ||
@@ -507,7 +526,7 @@
             {"seen", now <= member.last_ack_at + config::cell_link_timeout}};
         if (owner_->has_waiting_counts())
             heartbeat["w"] = owner_->waiting_by_queue();
-        post(host, std::move(heartbeat));
+        post(host, heartbeat);
     }
 }
 
--- a/src/cell_host_p.hpp
+++ b/src/cell_host_p.hpp
@@ -35,8 +35,10 @@
               const external_row_reader& external_rows);
 
     /// Handles `events` in order and returns their effects. `now` must not be
-    /// earlier than in the previous call.
-    cell_effects handle(time_point now, const std::vector<cell_event>& events);
+    /// earlier than in the previous call. `continues_batch` tells that the
+    /// events had arrived when the previous call was made; see `split_batch`.
+    cell_effects handle(time_point now, const std::vector<cell_event>& events,
+                        bool continues_batch = false);
 
     const metrics& counters() const
     {
@@ -73,6 +75,13 @@
         std::uint64_t id = 0; ///< Id of the call at the owner.
     };
 
+    /// The items of a message that has not been sent yet.
+    struct message_items
+    {
+        std::size_t count = 0;
+        std::string encoded; ///< Their CBOR encodings, one after the other.
+    };
+
     void on_event(time_point now, const timer_tick&);
     void on_event(time_point now, const wall_clock& clock);
     void on_event(time_point now, const caller_request& request);
@@ -97,7 +106,7 @@
                       const nlohmann::json& item);
     /// Adds an item to the message that is sent to `host` at the end of the
     /// batch of events.
-    void post(const std::string& host, nlohmann::json item);
+    void post(const std::string& host, const nlohmann::json& item);
     /// The returned function holds a reference to this object.
     cell_frontend::sender make_owner_sender(time_point now);
     /// Sends the read or claim that the election asks for, one at a time.
@@ -115,8 +124,9 @@
     void update_membership(time_point now);
     void on_member_result(time_point now, const store_result& result);
     /// Tells the owner which hosts can make calls for it, and sends heartbeats
-    /// to them. Precondition: this host owns the cell.
+    /// to them when they are due. Precondition: this host owns the cell.
     void run_owner_duties(time_point now);
+    void send_heartbeats(time_point now);
     /// Stops following an owner whose heartbeats have been missing for too
     /// long.
     void check_owner_silence(time_point now);
@@ -136,7 +146,7 @@
     std::unique_ptr<cell_owner>
         owner_; ///< Null unless this host owns the cell.
     /// Items to send at the end of the batch of events, by host.
-    std::map<std::string, std::vector<nlohmann::json>> outbox_;
+    std::map<std::string, message_items> outbox_;
     /// Answers of the owner on this host to callers of this host.
     std::vector<nlohmann::json> local_answers_;
     /// Calls to workers in progress, by their id on this host.
