Log each count of waiting jobs that is answered or refused

A count that is false (MIXED) could not be traced: no line told which count a host had answered with or how old it was. The fake worker can refuse starts. No change of what callers get.

--- a/src/cell_frontend.cpp
+++ b/src/cell_frontend.cpp
@@ -96,8 +96,13 @@
                                          const caller_request& request,
                                          const queue_config& queue)
 {
+    const auto age_ms =
+        (now - waiting_counts_at_) / std::chrono::milliseconds(1);
     if (now > waiting_counts_at_ + max_waiting_count_age)
     {
+        context_.counters.count("carobcourse_waiting_counts_refused_total");
+        context_.log(log_code::cell_count_refused,
+                     fmt::format("queue={} age_ms={}", queue.name, age_ms));
         refuse_locally(now, request, result_code::owner_unknown);
         return;
     }
@@ -105,6 +110,9 @@
     caller_answer reply;
     reply.id = request.id;
     reply.waiting_jobs = found == waiting_counts_.end() ? 0 : found->second;
+    context_.log(log_code::cell_count_answered,
+                 fmt::format("queue={} waiting={} age_ms={}", queue.name,
+                             *reply.waiting_jobs, age_ms));
     answer(std::move(reply));
 }
 
--- a/src/log_event_p.hpp
+++ b/src/log_event_p.hpp
@@ -86,6 +86,9 @@
     X(cell_call_refused, 2722, info, "a call of a caller is refused")          \
     X(cell_call_unknown, 2723, warning,                                        \
       "a call of a caller has no known outcome")                               \
+    X(cell_count_answered, 2724, info, "a count of waiting jobs is answered")  \
+    X(cell_count_refused, 2725, info,                                          \
+      "the count of waiting jobs is too old and is refused")                   \
     X(cell_task_started, 2731, info, "a task is ordered to start")             \
     X(cell_task_ended, 2732, info, "a run of a task has ended")                \
     X(cell_task_lost, 2733, warning, "a run of a task is gone without an end") \
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -223,6 +223,8 @@
     std::function<bool(const worker_call&)> drops_answer;
     /// Selects calls that are lost before they reach the worker.
     std::function<bool(const worker_call&)> drops_call;
+    /// Answer to each start, which then has no effect; empty: starts are taken.
+    std::optional<command_status> start_refusal;
     /// Delay before a start takes effect; its answer is lost unless this is 0.
     std::int64_t start_delay_ms = 0;
     std::int64_t stop_delay_ms = 0; ///< Time from a stop to the end of the run.
@@ -809,7 +811,9 @@
                                       config::cell_max_worker_lease.count()));
         if (call.command == worker_command::start)
         {
-            if (call.lease_until_ms <= answer.clock_ms)
+            if (worker.start_refusal)
+                answer.status = *worker.start_refusal;
+            else if (call.lease_until_ms <= answer.clock_ms)
                 answer.status = command_status::expired;
             else if (worker.highest_ended_run.count(call.task) &&
                      worker.highest_ended_run[call.task] >= call.run)
