Count a job as begun only once a worker has begun it

A job counted as started when its first start was sent, and a start that failed did not undo it. Progress rows stored the mark, so later owners had it too.

A job has begun when a start is answered with success, a worker lists a run of it, or an end of a run is reported. The same mark gives the phase, so a job is shown as queued until then. An end that is the first news of a run counts too. The histogram carobcourse_job_wait_seconds is taken at the same moment, for jobs that the same owner accepted, so it is longer than before by the start call.

--- a/src/cell_job_p.hpp
+++ b/src/cell_job_p.hpp
@@ -109,7 +109,8 @@
         return accepted_epoch_;
     }
     job_phase phase() const;
-    /// Returns true once any task of the job has been started.
+    /// Returns true once a worker is known to have begun a task of the job. A
+    /// start that was only sent does not count: the worker may refuse it.
     bool has_started() const
     {
         return started_;
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -280,14 +280,6 @@
     entry.start_checkpoint = task.checkpoint;
     entry.expected_end = now + std::chrono::milliseconds(spec.estimate_ms);
     workers_.add_run(target, {id, run}, std::move(entry));
-    if (!job.has_started())
-    {
-        job.mark_started();
-        context_.counters.observe(
-            "carobcourse_job_wait_seconds",
-            std::chrono::milliseconds(std::max<std::int64_t>(
-                0, context_.wall_clock_ms - job.accepted_unix_ms())));
-    }
     const auto used = workers_.usage_of(job.customer());
     context_.log(log_code::cell_task_started,
                  fmt::format("task={} run={} worker={} room_cpu={} "
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -330,6 +330,8 @@
                         const worker_answer& answer);
     void adopt_run(time_point now, cell_worker& worker,
                    const running_report& report);
+    /// Records that a worker has begun a task of the job.
+    void mark_begun(cell_job& job);
     void on_run_ended(time_point now, cell_worker& worker,
                       const end_report& end);
     void drop_all_runs(time_point now, cell_worker& worker, const char* reason);
--- a/src/cell_owner_runs.cpp
+++ b/src/cell_owner_runs.cpp
@@ -54,6 +54,11 @@
             adopt_run(now, worker, report);
             continue;
         }
+        if (run->state != run_state::running)
+        {
+            if (auto* job = find_job(report.task.job))
+                mark_begun(*job);
+        }
         if (run->state == run_state::unconfirmed)
         {
             run->state = run_state::running;
@@ -127,12 +132,26 @@
                  fmt::format("task={} run={} worker={} wanted={} epoch={}",
                              to_string(report.task), report.run,
                              worker.report().id, wanted, row().epoch));
+    if (task)
+        mark_begun(*job);
     if (!wanted)
         return;
     task->state = cell_task_state::running;
     task->worker = worker.report().id;
     task->run = report.run;
-    job->mark_started();
+}
+
+void cell_owner::mark_begun(cell_job& job)
+{
+    if (job.has_started())
+        return;
+    job.mark_started();
+    // A job of an earlier owner may have begun before this one heard of it.
+    if (job.accepted_epoch() == row().epoch)
+        context_.counters.observe(
+            "carobcourse_job_wait_seconds",
+            std::chrono::milliseconds(std::max<std::int64_t>(
+                0, context_.wall_clock_ms - job.accepted_unix_ms())));
 }
 
 void cell_owner::on_run_ended(time_point now, cell_worker& worker,
@@ -150,6 +169,7 @@
     workers_.remove_run(worker, key);
     if (!task || is_final(job->phase()))
         return;
+    mark_begun(*job);
     if (!end.checkpoint.empty())
         task->checkpoint = end.checkpoint;
     if (end.kind == end_kind::done)
@@ -384,6 +404,8 @@
         worker.unanswered_starts = 0;
         run->state = run_state::running;
         run->confirmed_at = now;
+        if (job)
+            mark_begun(*job);
         auto* task = job ? job->find(pending.key.first) : nullptr;
         if (task && task->worker == pending.worker &&
             task->run == pending.key.second &&
--- /dev/null
+++ b/tests/test_cell_waiting_counts.cpp
@@ -0,0 +1,145 @@
+// Tests that no host gives a count of waiting jobs that is lower than the
+// number of jobs that wait, on fakes.
+#include "cell_harness.hpp"
+
+using namespace cell_test;
+
+namespace
+{
+
+constexpr unsigned waiting_job_count = 10;
+
+struct waiting_count_cell : cell_with_owner
+{
+    /// Callers need no key, so that hosts that can not confirm the
+    /// configuration answer too.
+    explicit waiting_count_cell(std::size_t hosts = 3, std::size_t workers = 4)
+        : cell_with_owner(hosts, workers)
+    {
+        auto queues = default_queues();
+        for (auto& queue : queues)
+            queue.allows_anonymous = true;
+        configure(queues, default_customers());
+        run(milliseconds(200));
+    }
+    std::vector<std::string> non_owners() const
+    {
+        std::vector<std::string> result;
+        for (const auto& [name, slot] : hosts)
+            if (name != owner())
+                result.push_back(name);
+        return result;
+    }
+    void refuse_starts(std::optional<command_status> status)
+    {
+        for (auto& [id, worker] : workers)
+            worker.start_refusal = status;
+    }
+    void submit_jobs(const std::string& host, std::int64_t cpu_millis)
+    {
+        for (unsigned job = 1; job <= waiting_job_count; ++job)
+            calls.push_back(submit(host, job, make_work(1, cpu_millis)));
+    }
+    /// Submits jobs that no worker has room for.
+    void submit_waiting_jobs(const std::string& host)
+    {
+        submit_jobs(host, 9000);
+    }
+    bool are_jobs_accepted() const
+    {
+        return std::all_of(calls.begin(), calls.end(),
+                           [this](call_id each) {
+                               return answers.count(each) &&
+                                      code_of(each) == result_code::ok;
+                           });
+    }
+    call_id ask(const std::string& host)
+    {
+        return call(host, caller_verb::status, "/batch/");
+    }
+    /// Asks a host for the count. Returns nothing when the host refuses.
+    std::optional<std::uint64_t> count_at(const std::string& host)
+    {
+        const auto id = ask(host);
+        REQUIRE(
+            run_until(milliseconds(100), [&] { return answers.count(id); }));
+        if (!answers.at(id).waiting_jobs)
+            CHECK(code_of(id) == result_code::owner_unknown);
+        return answers.at(id).waiting_jobs;
+    }
+    void block_takeover()
+    {
+        for (const auto& name : non_owners())
+            hosts[name].reaches_store = false;
+    }
+    /// Cuts `host` off from all other hosts except `kept`.
+    void cut_links_of(const std::string& host, const std::string& kept = {})
+    {
+        for (const auto& [name, slot] : hosts)
+            if (name != host && name != kept)
+                cut_links.insert({host, name});
+    }
+    std::vector<call_id> calls;
+};
+
+} // namespace
+
+TEST_CASE("Jobs whose starts are refused or not answered are waiting")
+{
+    // Guards against jobs that count as started once a start is sent.
+    waiting_count_cell cell;
+    const bool refused = GENERATE(true, false);
+    INFO((refused ? "refused" : "not answered"));
+    if (refused)
+        cell.refuse_starts(command_status::unhealthy);
+    else
+        for (auto& [id, worker] : cell.workers)
+            worker.drops_call = [](const worker_call& call)
+            { return call.command == worker_command::start; };
+    cell.submit_jobs("h0", 1000);
+    cell.run(milliseconds(1000));
+    for (int i = 0; i < 10; ++i)
+    {
+        cell.run(milliseconds(400));
+        for (const auto& [name, slot] : cell.hosts)
+            CHECK(cell.count_at(name) == waiting_job_count);
+        CHECK(cell.phase(1) == "queued");
+    }
+    cell.refuse_starts({});
+    for (auto& [id, worker] : cell.workers)
+        worker.drops_call = {};
+    // A worker that did not answer starts is avoided for 6 s.
+    REQUIRE(cell.run_until(milliseconds(9000),
+                           [&] { return cell.starts.size() == 10; }));
+    cell.run(milliseconds(1000));
+    CHECK(cell.count_at("h0") == 0);
+    CHECK(cell.first_violation() == "none");
+}
+
+TEST_CASE("A job whose start is carried out late waits until then")
+{
+    // Guards against a count that is lower between the start that is sent and
+    // the one that a worker carries out, and against one that stays too high
+    // because the answer to the start is lost.
+    waiting_count_cell cell(3, 1);
+    auto& worker = cell.workers["w0"];
+    const bool ends_unseen = GENERATE(false, true);
+    INFO((ends_unseen ? "the run ends before it is listed" : "it is listed"));
+    cell.plan = [&cell, ends_unseen](const cell_task_id&, std::uint32_t)
+    {
+        const bool ends_at_once = ends_unseen && cell.starts.empty();
+        return fake_run{time_point(milliseconds(ends_at_once ? 1 : 4000)),
+                        ends_at_once ? end_kind::failed : end_kind::done,
+                        {}};
+    };
+    worker.start_delay_ms = 600;
+    cell.submit("h0", 1, cell.make_work(1, 1000));
+    cell.run(milliseconds(450));
+    REQUIRE(cell.starts.empty());
+    CHECK(cell.count_at("h0") == 1);
+    REQUIRE(cell.run_until(milliseconds(500),
+                           [&] { return !cell.starts.empty(); }));
+    cell.run(milliseconds(1500));
+    CHECK(cell.count_at("h0") == 0);
+    CHECK(cell.phase(1) == "running");
+}
