Refuse counts of waiting jobs without evidence of their age

A host took the time at which it handled a heartbeat for the age of the counts in it. A host that was suspended answered 0 from a heartbeat of 6 s before, while 10 jobs waited; counts that a link held up looked fresh as well.

Each acknowledgement of a heartbeat carries a reading of the host's clock, and the next heartbeat to it echoes the latest one with the age of the counts at the owner. The counts are then no older than the reading less that age, whoever held them up. The reading is dropped when the link breaks. The owner counts for each heartbeat instead of sending what it counted before.

Heartbeats of the previous build have no evidence, so their counts are refused; hosts of the previous build still find the counts where they were. While hosts are updated, counts are answered by hosts of the owner's build and by older ones only.

--- a/src/cell_frontend.cpp
+++ b/src/cell_frontend.cpp
@@ -18,8 +18,6 @@
 /// Time after which a call without an answer is sent to the owner again; it
 /// doubles with each repetition, so that a busy owner is not flooded.
 constexpr auto resend_period = std::chrono::milliseconds(600);
-/// Older counts of waiting jobs are not shown to callers.
-constexpr auto max_waiting_count_age = std::chrono::milliseconds(2000);
 /// Length of a job id in hexadecimal digits.
 constexpr std::size_t job_id_bytes = 16;
 
@@ -97,22 +95,25 @@
                                          const queue_config& queue)
 {
     const auto age_ms =
-        (now - waiting_counts_at_) / std::chrono::milliseconds(1);
-    if (now > waiting_counts_at_ + max_waiting_count_age)
+        (now - waiting_counts_.as_of) / std::chrono::milliseconds(1);
+    if (now > waiting_counts_.as_of + config::cell_max_waiting_count_age)
     {
         context_.counters.count("carobcourse_waiting_counts_refused_total");
         context_.log(log_code::cell_count_refused,
-                     fmt::format("queue={} age_ms={}", queue.name, age_ms));
+                     fmt::format("queue={} age_ms={} epoch={}", queue.name,
+                                 age_ms, waiting_counts_.epoch));
         refuse_locally(now, request, result_code::owner_unknown);
         return;
     }
-    const auto found = waiting_counts_.find(queue.name);
+    const auto found = waiting_counts_.by_queue.find(queue.name);
     caller_answer reply;
     reply.id = request.id;
-    reply.waiting_jobs = found == waiting_counts_.end() ? 0 : found->second;
+    reply.waiting_jobs =
+        found == waiting_counts_.by_queue.end() ? 0 : found->second;
     context_.log(log_code::cell_count_answered,
-                 fmt::format("queue={} waiting={} age_ms={}", queue.name,
-                             *reply.waiting_jobs, age_ms));
+                 fmt::format("queue={} waiting={} age_ms={} epoch={}",
+                             queue.name, *reply.waiting_jobs, age_ms,
+                             waiting_counts_.epoch));
     answer(std::move(reply));
 }
 
--- a/src/cell_frontend_p.hpp
+++ b/src/cell_frontend_p.hpp
@@ -47,13 +47,12 @@
     /// Sends unanswered calls again, and fails those that have waited too long
     /// for an owner or whose deadline is near.
     void tick(time_point now, const sender& send_to_owner);
-    /// Stores the number of waiting jobs of each queue, as the owner reported
-    /// it at `now`.
-    void set_waiting_counts(time_point now,
-                            std::map<std::string, std::uint64_t> counts)
+    /// Stores the counts of an owner. Counts that may be older than the stored
+    /// ones are ignored.
+    void set_waiting_counts(waiting_counts counts)
     {
-        waiting_counts_ = std::move(counts);
-        waiting_counts_at_ = now;
+        if (counts.as_of >= waiting_counts_.as_of)
+            waiting_counts_ = std::move(counts);
     }
     /// Records that the configuration was current in the store at time `at`.
     /// An earlier time than the recorded one is ignored.
@@ -115,14 +114,13 @@
     /// host can serve it, unless the store fails for all.
     std::int64_t retry_after_ms() const;
     /// Answers with the number of waiting jobs of the queue, or refuses when
-    /// the last report of the owner is too old.
+    /// they may be too old.
     void answer_waiting_count(time_point now, const caller_request& request,
                               const queue_config& queue);
 
     cell_context& context_;
     std::map<call_id, pending_call> calls_;
-    std::map<std::string, std::uint64_t> waiting_counts_;
-    time_point waiting_counts_at_;
+    waiting_counts waiting_counts_;
     time_point config_confirmed_at_;
     bool store_failing_ = false;
     bool connections_closing_ = false;
--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -34,6 +34,15 @@
 /// their final answer then.
 constexpr auto final_answer_period = std::chrono::milliseconds(400);
 
+/// Returns nothing when the field is missing or is no integer.
+std::optional<std::int64_t> find_integer(const json& item, const char* name)
+{
+    const auto found = item.find(name);
+    if (found == item.end() || !found->is_number_integer())
+        return std::nullopt;
+    return found->get<std::int64_t>();
+}
+
 duration claim_delay(const cell_identity& identity)
 {
     const auto missing = std::clamp(
@@ -60,6 +69,8 @@
     if (owner_)
         owner_->record_batch_time(now - last_handled_at_);
     last_handled_at_ = now;
+    if (!first_handled_at_)
+        first_handled_at_ = now;
     for (const auto& event : events)
     {
         // The last line of defence against input that no decoder refused: the
@@ -113,8 +124,6 @@
     {
         run_owner_duties(now);
         owner_->tick(now);
-        if (owner_->has_waiting_counts())
-            frontend_.set_waiting_counts(now, owner_->waiting_by_queue());
     }
     else
         check_owner_silence(now);
@@ -245,6 +254,7 @@
     {
         found->second.connected = state.connected;
         found->second.connected_at = now;
+        found->second.clock_us.reset();
         if (!state.connected)
             found->second.last_ack_at = {};
     }
@@ -354,6 +364,7 @@
         {
             found->second.last_ack_at = now;
             found->second.leaving = item.at("leaving").get<bool>();
+            found->second.clock_us = find_integer(item, "t");
         }
     }
     else if (kind == "call")
@@ -397,13 +408,12 @@
     }
     election_.on_heartbeat(now, epoch, from, item.at("a").get<std::string>(),
                            item.at("ok").get<bool>());
-    if (item.contains("w"))
-        frontend_.set_waiting_counts(
-            now, item["w"].get<std::map<std::string, std::uint64_t>>());
     frontend_.set_store_failing(!item.at("ok").get<bool>());
     if (item.at("seen").get<bool>())
         last_ack_confirmed_at_ = now;
-    post(from, {{"k", "ack"}, {"leaving", stopping_}});
+    post(from, {{"k", "ack"},
+                {"leaving", stopping_},
+                {"t", now.time_since_epoch().count()}});
     if (followed_owner_ != from || followed_epoch_ != epoch)
     {
         followed_owner_ = from;
@@ -413,6 +423,31 @@
         update_peers(now);
         frontend_.resend(make_owner_sender(now));
     }
+    if (auto counts = read_waiting_counts(now, item))
+        frontend_.set_waiting_counts(std::move(*counts));
+}
+
+/// The time at which a heartbeat is handled does not tell how old its counts
+/// are: the owner, the link or this host may have held it up. The owner echoes
+/// a reading of this host's clock that it had before it sent the heartbeat, so
+/// the counts are older than the reading by their age at the owner at most.
+std::optional<waiting_counts>
+cell_host::read_waiting_counts(time_point now, const json& item) const
+{
+    // An owner of the previous build sends counts without evidence of their
+    // age.
+    const auto echo_us = find_integer(item, "t");
+    const auto age_us = find_integer(item, "wa");
+    if (!item.contains("w") || !echo_us || !age_us || *age_us < 0)
+        return std::nullopt;
+    const time_point echo{duration(*echo_us)};
+    if (echo < *first_handled_at_ || echo > now)
+        return std::nullopt;
+    waiting_counts counts;
+    counts.by_queue = item["w"].get<std::map<std::string, std::uint64_t>>();
+    counts.as_of = echo - duration(*age_us);
+    counts.epoch = election_.epoch();
+    return counts;
 }
 
 // ------------------------------------------------------------------ ownership
@@ -453,7 +488,10 @@
     next_heartbeat_at_ = now;
     next_member_op_at_ = now;
     for (auto& [host, member] : members_)
+    {
         member.last_ack_at = {};
+        member.clock_us.reset();
+    }
     run_owner_duties(now);
     frontend_.resend(make_owner_sender(now));
 }
@@ -495,6 +533,11 @@
         !owner_->is_store_failing() ||
         now <= owner_->last_commit_at() + max_store_failure_time;
     frontend_.set_store_failing(!store_ok);
+    // Counted anew for each heartbeat: the tick of a host that was suspended
+    // comes before any other work.
+    const auto counts = owner_->count_waiting_jobs(now);
+    if (counts)
+        frontend_.set_waiting_counts(*counts);
     for (const auto& [host, member] : members_)
     {
         if (!member.connected)
@@ -505,8 +548,13 @@
             {"a", context_.identity.peer_address},
             {"ok", store_ok},
             {"seen", now <= member.last_ack_at + config::cell_link_timeout}};
-        if (owner_->has_waiting_counts())
-            heartbeat["w"] = owner_->waiting_by_queue();
+        if (counts)
+            heartbeat["w"] = counts->by_queue;
+        if (counts && member.clock_us)
+        {
+            heartbeat["t"] = *member.clock_us;
+            heartbeat["wa"] = (now - counts->as_of).count();
+        }
         post(host, std::move(heartbeat));
     }
 }
--- a/src/cell_host_p.hpp
+++ b/src/cell_host_p.hpp
@@ -61,6 +61,9 @@
         /// Latest answer to a heartbeat of this host; zero when there was none
         /// since the link was made.
         time_point last_ack_at;
+        /// Clock of the host when it sent that answer, in microseconds. Empty
+        /// when there was none since the link was made, or none with a reading.
+        std::optional<std::int64_t> clock_us;
         bool connected = false;
         bool leaving = false; ///< The host is stopping.
         time_point connected_at;
@@ -95,6 +98,10 @@
                  const nlohmann::json& item);
     void on_heartbeat(time_point now, const std::string& from,
                       const nlohmann::json& item);
+    /// Returns the counts in a heartbeat, or nothing when it does not show how
+    /// old they are.
+    std::optional<waiting_counts>
+    read_waiting_counts(time_point now, const nlohmann::json& item) const;
     /// Adds an item to the message that is sent to `host` at the end of the
     /// batch of events.
     void post(const std::string& host, nlohmann::json item);
@@ -154,6 +161,7 @@
     bool registered_ = false;
     time_point next_member_op_at_;
     time_point last_handled_at_;
+    std::optional<time_point> first_handled_at_;
     time_point next_heartbeat_at_;
     /// Owner whose heartbeats this host answers; empty when there is none.
     std::string followed_owner_;
--- a/src/cell_limits_p.hpp
+++ b/src/cell_limits_p.hpp
@@ -161,6 +161,9 @@
 constexpr auto cell_retry_after = 1000ms;
 /// Time for which the phase of an ended job stays available.
 constexpr auto cell_ended_job_retention = 150s;
+/// Counts of waiting jobs that may be older are neither told by the owner nor
+/// shown to callers. The platform allows 2 s.
+constexpr auto cell_max_waiting_count_age = 2000ms;
 /// The owner refuses new jobs while its batches of events take longer than
 /// this on average. Urgent work that waits longer misses its objective.
 constexpr auto cell_max_owner_lag = 250ms;
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -17,7 +17,8 @@
 
 constexpr double millis_per_core = 1000;
 
-constexpr auto waiting_count_interval = std::chrono::milliseconds(200);
+/// A round of dispatch follows at this interval even without news.
+constexpr auto regular_dispatch_interval = std::chrono::milliseconds(200);
 /// A submission does not pass over all workers when another one just did.
 constexpr auto usable_cores_validity = std::chrono::milliseconds(50);
 constexpr auto cleanup_interval = std::chrono::seconds(5);
@@ -401,15 +402,20 @@
     }
 }
 
-void cell_owner::count_waiting_jobs()
+std::optional<waiting_counts>
+cell_owner::count_waiting_jobs(time_point now) const
 {
-    waiting_by_queue_.clear();
-    has_waiting_counts_ = true;
+    if (!loaded_)
+        return std::nullopt;
+    waiting_counts counts;
+    counts.as_of = now;
+    counts.epoch = row().epoch;
     for (const auto& [id, job] : jobs_)
     {
         if (job->durable && !job->has_started() && !is_final(job->phase()))
-            ++waiting_by_queue_[job->queue()];
+            ++counts.by_queue[job->queue()];
     }
+    return counts;
 }
 
 // -------------------------------------------------------------------- rounds
@@ -432,10 +438,9 @@
     }
     fail_calls(now, [now](const pending_call& call)
                { return now >= call.deadline; });
-    if (now >= next_waiting_count_)
+    if (now >= next_regular_dispatch_)
     {
-        next_waiting_count_ = now + waiting_count_interval;
-        count_waiting_jobs();
+        next_regular_dispatch_ = now + regular_dispatch_interval;
         dispatch_due_ = true;
     }
     if (now >= next_cleanup_)
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -126,18 +126,9 @@
     {
         return journal_.last_commit_at();
     }
-    /// Returns false until the jobs have been read and counted.
-    bool has_waiting_counts() const
-    {
-        return has_waiting_counts_;
-    }
-    /// Returns for each queue the number of accepted jobs of which no task has
-    /// started. Queues without such jobs may be missing.
-    /// Precondition: `has_waiting_counts()`.
-    const std::map<std::string, std::uint64_t>& waiting_by_queue() const
-    {
-        return waiting_by_queue_;
-    }
+    /// Counts the jobs of which no task has begun. Returns nothing until the
+    /// jobs have been read.
+    std::optional<waiting_counts> count_waiting_jobs(time_point now) const;
 
     // For tests and metrics.
     const cell_workers& workers() const
@@ -278,7 +269,6 @@
     void discard_job_rows(const std::string& id);
     void on_final_phase_durable(time_point now, const std::string& id,
                                 job_phase phase);
-    void count_waiting_jobs();
     /// Returns for each customer the accepted work that is ordered before
     /// `job`.
     std::vector<customer_backlog> backlogs_before(time_point now,
@@ -410,10 +400,8 @@
     std::set<std::string> workers_to_update_;
     /// Time of the next update of all workers.
     time_point next_worker_update_;
-    std::map<std::string, std::uint64_t> waiting_by_queue_;
-    bool has_waiting_counts_ = false;
     customer_rate_limiter rate_limiter_;
-    time_point next_waiting_count_;
+    time_point next_regular_dispatch_;
     time_point next_cleanup_;
     /// Number of batches over which `lag_` is averaged.
     static constexpr int lag_samples = 4;
--- a/src/cell_types_p.hpp
+++ b/src/cell_types_p.hpp
@@ -6,6 +6,7 @@
 #include <carobcourse/result_code.hpp>
 #include <carobcourse/types.hpp>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <tl/expected.hpp>
@@ -226,4 +227,20 @@
     return phase != job_phase::queued && phase != job_phase::running;
 }
 
+/// Number of accepted jobs of which no task has begun. Queues without such jobs
+/// may be missing.
+struct waiting_counts
+{
+    std::map<std::string, std::uint64_t> by_queue;
+    /// The counts are no older than this.
+    time_point as_of;
+    std::uint64_t epoch = 0; ///< Epoch of the owner that counted.
+
+    friend bool operator==(const waiting_counts& a, const waiting_counts& b)
+    {
+        return a.by_queue == b.by_queue && a.as_of == b.as_of &&
+               a.epoch == b.epoch;
+    }
+};
+
 } // namespace carobcourse
--- a/tests/test_cell_waiting_counts.cpp
+++ b/tests/test_cell_waiting_counts.cpp
@@ -82,6 +82,24 @@
     std::vector<call_id> calls;
 };
 
+/// Heartbeat of an owner that runs the previous build.
+peer_received heartbeat_without_age(const std::string& from,
+                                    std::uint64_t epoch)
+{
+    peer_received message;
+    message.from = from;
+    message.type = "cell";
+    nlohmann::json::to_cbor(
+        nlohmann::json::array({{{"k", "heartbeat"},
+                                {"e", epoch},
+                                {"a", from},
+                                {"ok", true},
+                                {"seen", true},
+                                {"w", nlohmann::json::object()}}}),
+        message.payload);
+    return message;
+}
+
 } // namespace
 
 TEST_CASE("Jobs whose starts are refused or not answered are waiting")
@@ -143,3 +161,104 @@
     CHECK(cell.count_at("h0") == 0);
     CHECK(cell.phase(1) == "running");
 }
+
+TEST_CASE("An owner that was frozen does not tell its counts from before")
+{
+    // Guards against counts that are sent on waking, before the owner has
+    // counted again and knows whether it still is the owner.
+    waiting_count_cell cell;
+    const auto delay = milliseconds(GENERATE(range(0, 200, 40)));
+    INFO("jobs submitted after " << delay.count() << " ms");
+    const auto owner = cell.owner();
+    cell.run(delay);
+    cell.block_takeover();
+    cell.submit_waiting_jobs(owner);
+    REQUIRE(cell.run_until(milliseconds(200),
+                           [&] { return cell.are_jobs_accepted(); }));
+    cell.hosts[owner].paused = true;
+    cell.run(milliseconds(6000));
+    cell.hosts[owner].paused = false;
+    for (int i = 0; i < 60; ++i)
+    {
+        std::vector<call_id> asked;
+        for (const auto& [name, slot] : cell.hosts)
+            asked.push_back(cell.ask(name));
+        cell.run(milliseconds(5));
+        for (const auto id : asked)
+            if (cell.answers.count(id) && cell.answers[id].waiting_jobs)
+                CHECK(cell.answers[id].waiting_jobs == waiting_job_count);
+    }
+    cell.run(milliseconds(1000));
+    CHECK(cell.count_at(owner) == waiting_job_count);
+}
+
+TEST_CASE("A host that was suspended does not take queued counts for new ones")
+{
+    // Guards against counts that are as old as the suspension and get the time
+    // at which the host handles them.
+    waiting_count_cell cell;
+    const auto owner = cell.owner();
+    const auto suspended = cell.non_owners().front();
+    cell.run(milliseconds(200));
+    cell.hosts[suspended].paused = true;
+    cell.run(milliseconds(600));
+    const auto asked = cell.ask(suspended);
+    cell.submit_waiting_jobs(owner);
+    cell.run(milliseconds(6000));
+    REQUIRE(cell.are_jobs_accepted());
+    cell.hosts[suspended].paused = false;
+    cell.run(milliseconds(20));
+    REQUIRE(cell.answers.count(asked) == 1);
+    CHECK(!cell.answers[asked].waiting_jobs);
+    for (int i = 0; i < 40; ++i)
+    {
+        const auto count = cell.count_at(suspended);
+        if (count)
+            CHECK(*count == waiting_job_count);
+        cell.run(milliseconds(50));
+    }
+    CHECK(cell.count_at(suspended) == waiting_job_count);
+}
+
+TEST_CASE("Counts of an owner of the previous build are refused")
+{
+    // Guards against counts without evidence of their age.
+    waiting_count_cell cell;
+    const auto host = cell.non_owners().front();
+    for (int i = 0; i < 30; ++i)
+    {
+        cell.hosts[host].inbox.emplace_back(
+            heartbeat_without_age("previous", 1000));
+        cell.run(milliseconds(100));
+    }
+    CHECK(!cell.count_at(host));
+    CHECK(cell.hosts[host].host->counters().counter(
+              "carobcourse_events_failed_total") == 0);
+}
+
+TEST_CASE("An owner tells counts beside hosts of the previous build")
+{
+    // Guards against an acknowledgement without a clock reading that stops the
+    // owner or the counts of the other hosts.
+    waiting_count_cell cell;
+    const auto owner = cell.owner();
+    const auto others = cell.non_owners();
+    cell.submit_waiting_jobs(owner);
+    cell.run(milliseconds(500));
+    for (int i = 0; i < 30; ++i)
+    {
+        peer_received message;
+        message.from = others.front();
+        message.type = "cell";
+        nlohmann::json::to_cbor(
+            nlohmann::json::array({{{"k", "ack"}, {"leaving", false}}}),
+            message.payload);
+        cell.hosts[owner].inbox.emplace_back(message);
+        cell.run(milliseconds(100));
+    }
+    CHECK(cell.owner() == owner);
+    CHECK(cell.count_at(owner) == waiting_job_count);
+    CHECK(cell.count_at(others.back()) == waiting_job_count);
+    CHECK(cell.hosts[owner].host->counters().counter(
+              "carobcourse_peer_items_refused_total") == 0);
+}
