Date counts of waiting jobs by the last proof of ownership

An owner that was cut off from the store and from most hosts went on telling its counts for seconds, to its callers and to the hosts behind it, without the jobs that its successor had accepted: 0 instead of 10. So did a host that woke up as a former owner, until its first commit was refused and for 2 s after.

Another host may have claimed the cell since the last confirmed commit was sent, so the counts are as of that time.

--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -405,10 +405,13 @@
 std::optional<waiting_counts>
 cell_owner::count_waiting_jobs(time_point now) const
 {
-    if (!loaded_)
+    // A later owner may have accepted jobs since this host was last known to be
+    // the owner.
+    const auto as_of = std::min(now, journal_.ownership_confirmed_at());
+    if (!loaded_ || now > as_of + config::cell_max_waiting_count_age)
         return std::nullopt;
     waiting_counts counts;
-    counts.as_of = now;
+    counts.as_of = as_of;
     counts.epoch = row().epoch;
     for (const auto& [id, job] : jobs_)
     {
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -126,8 +126,9 @@
     {
         return journal_.last_commit_at();
     }
-    /// Counts the jobs of which no task has begun. Returns nothing until the
-    /// jobs have been read.
+    /// Counts the jobs of which no task has begun, as of the time at which this
+    /// host was last known to be the owner. Returns nothing until the jobs have
+    /// been read and when that time is too long ago.
     std::optional<waiting_counts> count_waiting_jobs(time_point now) const;
 
     // For tests and metrics.
--- a/tests/test_cell_waiting_counts.cpp
+++ b/tests/test_cell_waiting_counts.cpp
@@ -220,6 +220,78 @@
     CHECK(cell.count_at(suspended) == waiting_job_count);
 }
 
+TEST_CASE("An owner that is cut off tells no counts that miss the jobs of its "
+          "successor")
+{
+    // Guards against counts of an owner whose commits are not confirmed.
+    waiting_count_cell cell(4);
+    const auto owner = cell.owner();
+    const auto follower = cell.non_owners().front();
+    for (const auto& name : {owner, follower})
+    {
+        cell.hosts[name].reaches_store = false;
+        cell.cut_links_of(name, name == owner ? follower : owner);
+    }
+    cell.partition_of = [owner, follower](const std::string& name)
+    { return name == owner || name == follower ? 1 : 0; };
+    std::string successor;
+    REQUIRE(cell.run_until(milliseconds(5000),
+                           [&]
+                           {
+                               for (const auto& [name, slot] : cell.hosts)
+                                   if (name != owner && slot.host->is_owner() &&
+                                       slot.host->owner()->is_loaded())
+                                       successor = name;
+                               return !successor.empty();
+                           }));
+    cell.submit_waiting_jobs(successor);
+    REQUIRE(cell.run_until(milliseconds(1000),
+                           [&] { return cell.are_jobs_accepted(); }));
+    cell.run(milliseconds(2100));
+    REQUIRE(cell.hosts[owner].host->is_owner());
+    for (int i = 0; i < 40; ++i)
+    {
+        for (const auto& name : {owner, follower})
+        {
+            const auto count = cell.count_at(name);
+            INFO(name << (name == owner ? ", the owner" : ", its follower"));
+            if (count)
+                CHECK(*count == waiting_job_count);
+        }
+        cell.run(milliseconds(100));
+    }
+}
+
+TEST_CASE("A host that has lost the cell does not answer with its own counts")
+{
+    // Guards against counts of a former owner that get the time of its last
+    // tick.
+    waiting_count_cell cell;
+    const auto former = cell.owner();
+    cell.hosts[former].paused = true;
+    cell.cut_links_of(former);
+    cell.partition_of = [former](const std::string& name)
+    { return name == former ? 1 : 0; };
+    REQUIRE(cell.run_until(milliseconds(5000),
+                           [&] { return !cell.owner().empty(); }));
+    cell.submit_waiting_jobs(cell.owner());
+    cell.run(milliseconds(3000));
+    REQUIRE(cell.are_jobs_accepted());
+    // Time between the first tick and the answer to the first commit.
+    cell.store_delay = milliseconds(100);
+    cell.hosts[former].paused = false;
+    for (int i = 0; i < 200; ++i)
+    {
+        const auto count = cell.count_at(former);
+        if (count)
+            CHECK(*count == waiting_job_count);
+    }
+    cell.cut_links.clear();
+    cell.partition_of = {};
+    cell.run(milliseconds(2000));
+    CHECK(cell.count_at(former) == waiting_job_count);
+}
+
 TEST_CASE("Counts of an owner of the previous build are refused")
 {
     // Guards against counts without evidence of their age.
