--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -129,18 +129,10 @@
     {
         return journal_.last_commit_at();
     }
-    /// Returns false until the jobs have been read and counted.
-    bool has_waiting_counts() const
-    {
-        return has_waiting_counts_;
-    }
-    /// Returns for each queue the number of accepted jobs of which no task has
-    /// started. Queues without such jobs may be missing.
-    /// Precondition: `has_waiting_counts()`.
-    const std::map<std::string, std::uint64_t>& waiting_by_queue() const
-    {
-        return waiting_by_queue_;
-    }
+    /// Counts the jobs of which no task has begun, as of the time at which this
+    /// host was last known to be the owner. Returns nothing until the jobs have
+    /// been read and when that time is too long ago.
+    std::optional<waiting_counts> count_waiting_jobs(time_point now) const;
 
     // For tests and metrics.
     const cell_workers& workers() const
@@ -293,7 +285,6 @@
     void write_final_phase(time_point now, cell_job& job);
     void on_final_phase_durable(time_point now, const std::string& id,
                                 job_phase phase);
-    void count_waiting_jobs();
     /// Logs what the owner has done since the last call when it is behind.
     void report_load(time_point now);
     /// Returns for each customer the accepted work that is ordered before
@@ -350,6 +341,8 @@
                         const worker_answer& answer);
     void adopt_run(time_point now, cell_worker& worker,
                    const running_report& report);
+    /// Records that a worker has begun a task of the job.
+    void mark_begun(cell_job& job);
     void on_run_ended(time_point now, cell_worker& worker,
                       const end_report& end);
     void drop_all_runs(time_point now, cell_worker& worker, const char* reason);
@@ -422,10 +415,8 @@
     std::set<std::string> workers_to_update_;
     /// Time of the next update of all workers.
     time_point next_worker_update_;
-    std::map<std::string, std::uint64_t> waiting_by_queue_;
-    bool has_waiting_counts_ = false;
     customer_rate_limiter rate_limiter_;
-    time_point next_waiting_count_;
+    time_point next_regular_dispatch_;
     time_point next_cleanup_;
     /// What the owner has done since `report_load` was last called.
     struct load_figures
