--- a/tests/test_cell_waiting_counts.cpp
+++ b/tests/test_cell_waiting_counts.cpp
@@ -334,3 +334,30 @@
     CHECK(cell.hosts[owner].host->counters().counter(
               "carobcourse_peer_items_refused_total") == 0);
 }
+
+TEST_CASE("Counts stay available while the store is slow and after a takeover")
+{
+    // Guards against bounds on the age of a count that calm hosts miss.
+    waiting_count_cell cell;
+    cell.store_delay = milliseconds(300);
+    cell.run(milliseconds(2000));
+    cell.submit_waiting_jobs("h0");
+    REQUIRE(cell.run_until(milliseconds(3000),
+                           [&] { return cell.are_jobs_accepted(); }));
+    cell.run(milliseconds(1000));
+    for (int i = 0; i < 20; ++i)
+    {
+        cell.run(milliseconds(100));
+        for (const auto& [name, slot] : cell.hosts)
+            CHECK(cell.count_at(name) == waiting_job_count);
+    }
+    cell.store_delay = milliseconds(4);
+    cell.run(milliseconds(1000));
+    cell.kill_host(cell.owner());
+    REQUIRE(cell.run_until(milliseconds(5000),
+                           [&] { return !cell.owner().empty(); }));
+    cell.run(milliseconds(600));
+    for (const auto& [name, slot] : cell.hosts)
+        if (slot.host)
+            CHECK(cell.count_at(name) == waiting_job_count);
+}
