--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -841,6 +841,8 @@
                       [this](const store_commit& each)
                       {
                           auto result = store.commit(each);
+                          if (result.status == store_status::ok)
+                              record_ended_jobs(each);
                           written_rows += result.versions.size();
                           notify_watchers();
                           return result;
