Judge silence as of the start of a batch of events

Deadlines of calls and links are now compared with the start of the batch, up to which all that arrived has been handled. The new test of test_cell_batches was not run on the code before.

--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -134,7 +134,7 @@
     if (owner_)
     {
         run_owner_duties(now);
-        owner_->tick(now);
+        owner_->tick(now, last_handled_at_);
     }
     else
         check_owner_silence(now);
@@ -537,7 +537,7 @@
     for (const auto& [host, member] : members_)
     {
         if (member.connected &&
-            now <= member.last_ack_at + config::cell_link_timeout)
+            last_handled_at_ <= member.last_ack_at + config::cell_link_timeout)
             relays.push_back({host, member.data_centre, member.leaving});
     }
     owner_->set_relays(now, std::move(relays));
@@ -566,7 +566,8 @@
             {"e", election_.epoch()},
             {"a", context_.identity.peer_address},
             {"ok", store_ok},
-            {"seen", now <= member.last_ack_at + config::cell_link_timeout}};
+            {"seen", last_handled_at_ <=
+                         member.last_ack_at + config::cell_link_timeout}};
         if (counts)
             heartbeat["w"] = counts->by_queue;
         if (counts && member.clock_us)
--- a/src/cell_host_members.cpp
+++ b/src/cell_host_members.cpp
@@ -148,8 +148,9 @@
         {
             const bool is_silent =
                 member.connected &&
-                now > std::max(member.last_ack_at, member.connected_at) +
-                          config::cell_link_timeout;
+                last_handled_at_ >
+                    std::max(member.last_ack_at, member.connected_at) +
+                        config::cell_link_timeout;
             if (is_silent)
             {
                 member.redial_at = now + redial_delay;
@@ -164,8 +165,9 @@
     {
         const auto& owner = election_.owner();
         if (connected_hosts_.count(owner) &&
-            now > std::max(last_ack_confirmed_at_, owner_connected_at_) +
-                      config::cell_link_timeout)
+            last_handled_at_ >
+                std::max(last_ack_confirmed_at_, owner_connected_at_) +
+                    config::cell_link_timeout)
         {
             owner_redial_at_ = now + redial_delay;
             connected_hosts_.erase(owner);
--- a/src/cell_host_p.hpp
+++ b/src/cell_host_p.hpp
@@ -170,6 +170,8 @@
     std::optional<op_id> member_op_;
     bool registered_ = false;
     time_point next_member_op_at_;
+    /// Start of the batch. Only events that had arrived by then have been
+    /// handled, so silence is judged as of this time.
     time_point last_handled_at_;
     std::optional<time_point> first_handled_at_;
     time_point next_heartbeat_at_;
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -447,7 +447,7 @@
 
 // -------------------------------------------------------------------- rounds
 
-void cell_owner::tick(time_point now)
+void cell_owner::tick(time_point now, time_point heard_until)
 {
     if (!loaded_)
         return;
@@ -463,7 +463,7 @@
             dispatch_due_ = true;
         }
     }
-    fail_overdue_calls(now);
+    fail_overdue_calls(now, heard_until);
     if (now >= next_regular_dispatch_)
     {
         next_regular_dispatch_ = now + regular_dispatch_interval;
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -92,8 +92,9 @@
         ++load_.batches;
         load_.longest_batch = std::max(load_.longest_batch, time);
     }
-    /// Handles timeouts and periodic work. To be called at each timer tick.
-    void tick(time_point now);
+    /// Handles timeouts and periodic work. To be called at each timer tick. All
+    /// answers that arrived until `heard_until` have been handled.
+    void tick(time_point now, time_point heard_until);
     /// Acts on the events since the last call: places tasks, calls workers and
     /// commits changes. Does nothing after ownership was lost or released.
     void finish_batch(time_point now);
@@ -308,7 +309,7 @@
     void fail_calls(time_point now,
                     const std::function<bool(const pending_call&)>& has_failed);
     /// Ends all calls whose deadline has passed as calls without an answer.
-    void fail_overdue_calls(time_point now);
+    void fail_overdue_calls(time_point now, time_point heard_until);
     void fail_calls(time_point now, const std::vector<std::uint64_t>& ids);
     /// Returns the host that makes the given attempt of a call to `worker`.
     std::string relay_for(const cell_worker& worker, unsigned attempt) const;
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -223,10 +223,11 @@
     fail_calls(now, failed);
 }
 
-void cell_owner::fail_overdue_calls(time_point now)
+void cell_owner::fail_overdue_calls(time_point now, time_point heard_until)
 {
     std::vector<std::uint64_t> overdue;
-    while (!call_deadlines_.empty() && call_deadlines_.top().first <= now)
+    while (!call_deadlines_.empty() &&
+           call_deadlines_.top().first <= heard_until)
     {
         overdue.push_back(call_deadlines_.top().second);
         call_deadlines_.pop();
--- a/tests/test_cell_batches.cpp
+++ b/tests/test_cell_batches.cpp
@@ -39,6 +39,48 @@
               .empty());
 }
 
+TEST_CASE("An answer that waits behind a long batch is not lost")
+{
+    // Guards against calls that fail, and are made again, while their answers
+    // wait for the end of a batch that takes longer than their timeout.
+    cell_with_owner cell(1, 1);
+    auto& host = *cell.hosts.at("h0").host;
+    const auto work = cell.make_work(1, 1000);
+    cell.submit("h0", 1, work);
+    cell.workers.at("w0").drops_call = [](const worker_call& call)
+    { return call.command == worker_command::start; };
+    std::optional<worker_call> start;
+    // The start is sent and its answer kept here.
+    REQUIRE(cell.run_until(milliseconds(500),
+                           [&]
+                           {
+                               for (const auto& record : cell.log)
+                                   if (record.code ==
+                                       log_code::cell_task_started)
+                                       return true;
+                               return false;
+                           }));
+    const auto failures = [&](const cell_effects& effects)
+    {
+        return std::count_if(
+            effects.begin(), effects.end(),
+            [](const cell_effect& effect)
+            {
+                const auto* record = std::get_if<log_record>(&effect);
+                return record && record->code == log_code::cell_start_failed;
+            });
+    };
+    auto now = cell.now;
+    const std::vector<cell_event> tick{timer_tick{}};
+    // The batch began before the timeout and ends after it.
+    CHECK(failures(host.handle(now, {})) == 0);
+    now += milliseconds(700);
+    CHECK(failures(host.handle(now, tick, true)) == 0);
+    // The next batch has all that arrived meanwhile, and no answer.
+    now += milliseconds(10);
+    CHECK(failures(host.handle(now, tick)) == 1);
+}
+
 TEST_CASE("The parts of a long batch count as one")
 {
     // Guards against an owner that takes jobs although its events wait for
