Give a commit to a slow store the time that the store takes

The answer to a commit is now given up after four times the store's answer time, 1 to 3 s, and copies follow that late. With a store that answers in milliseconds nothing changes. The new test of test_cell_journal was not run on the code before.

--- a/src/cell_journal.cpp
+++ b/src/cell_journal.cpp
@@ -174,6 +174,7 @@
     }
     store_commit commit;
     commit.op = op;
+    commit.timeout_ms = answer_timeout() / std::chrono::milliseconds(1);
     commit.writes.push_back(
         {cell_table::owner, owner_key, version_, to_text(owner_)});
     commit.writes.insert(commit.writes.end(), commit_writes_.begin(),
@@ -192,7 +193,14 @@
     // Copies queue up at a slow store, so the wait grows with each copy.
     for (std::size_t i = 1; i < in_flight_.size(); ++i)
         wait *= config::cell_commit_resend_factor;
-    return now + std::min<duration>(wait, config::cell_store_timeout);
+    return now + std::min<duration>(wait, answer_timeout());
+}
+
+duration cell_journal::answer_timeout() const
+{
+    return std::clamp<duration>(
+        smoothed_answer_time_ * config::cell_commit_resend_factor,
+        config::cell_store_timeout, config::cell_max_commit_timeout);
 }
 
 void cell_journal::update_answer_time(duration time)
--- a/src/cell_journal_p.hpp
+++ b/src/cell_journal_p.hpp
@@ -224,6 +224,8 @@
     /// Ends the current commit, which wrote the owner's row at `version`.
     void on_committed(time_point now, std::uint64_t version);
     void update_answer_time(duration time);
+    /// Time after which the answer to a copy is given up.
+    duration answer_timeout() const;
     /// Time from which the answer to a copy sent at `now` is overdue.
     time_point resend_time(time_point now) const;
 
--- a/src/cell_limits_p.hpp
+++ b/src/cell_limits_p.hpp
@@ -101,9 +101,12 @@
 /// Maximum number of rows in one page of a scan.
 constexpr std::size_t cell_scan_page_rows = 500;
 /// Timeout of a call to the store, and maximum time after which an unanswered
-/// commit is sent again. Far above the answer time of a slow store, which is
-/// 240 ms.
+/// commit is sent again, unless the store answers slowly. Far above the answer
+/// time of a slow store, which is 240 ms.
 constexpr auto cell_store_timeout = 1000ms;
+/// Longest timeout of a commit to a store that answers slowly: copies of a
+/// commit are carried out one after another and delay the next commits.
+constexpr auto cell_max_commit_timeout = 3000ms;
 
 // Cell: workers.
 
--- a/src/event_p.hpp
+++ b/src/event_p.hpp
@@ -109,6 +109,8 @@
 {
     op_id op;
     std::vector<row_write> writes;
+    /// Time after which the answer is given up; 0: the client's own.
+    std::int64_t timeout_ms = 0;
 };
 
 /// Reads one row; the result has no rows when it is absent.
--- a/tests/test_cell_journal.cpp
+++ b/tests/test_cell_journal.cpp
@@ -240,6 +240,25 @@
     CHECK(fixture.journal.is_store_failing(fixture.now));
 }
 
+TEST_CASE("A commit to a slow store is given the time that the store takes")
+{
+    // Guards against answers that are given up although the commit took
+    // effect, and against copies behind which the next commits wait.
+    journal_fixture fixture;
+    fixture.append("a", "x");
+    auto commit = fixture.wait_for_commit(milliseconds(50));
+    REQUIRE(commit);
+    CHECK(commit->timeout_ms == 1000);
+    fixture.now += milliseconds(900);
+    fixture.confirm(*commit);
+    fixture.append("a", "x");
+    commit = fixture.wait_for_commit(milliseconds(50));
+    REQUIRE(commit);
+    CHECK(commit->timeout_ms == 3000);
+    CHECK_FALSE(fixture.wait_for_commit(milliseconds(1800)));
+    fixture.confirm(*commit);
+}
+
 TEST_CASE("The log stays small and keeps the entries in force")
 {
     // Guards against a log that grows with the jobs that have ended, against
