Make no changes to the log before all of it is read

A new owner commits while it reads the log, to show that it is alive. Between two pages such a commit could rewrite entries into the row after the last one read, which was in use: an accepted job was lost, or an ended one was back for the next owner. The rows are now kept aside until all are read. Also, whether the store fails is judged as of the start of the batch, since its answer may wait behind it.

--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -99,7 +99,7 @@
         // The next timer tick may wait for the rest of a long batch.
         if (now >= next_heartbeat_at_ + max_heartbeat_delay)
             send_heartbeats(now);
-        owner_->finish_batch(now);
+        owner_->finish_batch(now, last_handled_at_);
         if (owner_->has_lost_ownership())
             lose_ownership(now, "another host has claimed the cell");
         else if (owner_->is_released())
--- a/src/cell_journal_p.hpp
+++ b/src/cell_journal_p.hpp
@@ -75,16 +75,12 @@
     cell_journal(owner_row owner, std::uint64_t version, time_point claim_sent);
 
     /// Takes a row of the log of earlier owners. Precondition: see
-    /// `cell_log::add_row`; nothing was appended yet.
+    /// `cell_log::add_row`; nothing was appended yet, and no commit is made
+    /// until all rows are loaded.
     void load_log_row(std::uint64_t number, std::vector<log_entry> entries)
     {
         log_.add_row(number, std::move(entries));
     }
-    /// Drops the loaded rows, which are then loaded again.
-    void reset_log()
-    {
-        log_ = {};
-    }
     /// The log as it is in the store.
     const cell_log& log() const
     {
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -501,9 +501,9 @@
 
 /// Updates whether the store confirms commits. When it starts to fail, refuses
 /// the submissions that wait for a commit.
-void cell_owner::update_store_state(time_point now)
+void cell_owner::update_store_state(time_point now, time_point heard_until)
 {
-    const bool failing = journal_.is_store_failing(now);
+    const bool failing = journal_.is_store_failing(heard_until);
     if (failing == store_failing_)
         return;
     store_failing_ = failing;
@@ -513,11 +513,11 @@
         refuse_unsent_jobs(now);
 }
 
-void cell_owner::finish_batch(time_point now)
+void cell_owner::finish_batch(time_point now, time_point heard_until)
 {
     if (lost_ownership_ || journal_.is_released())
         return;
-    update_store_state(now);
+    update_store_state(now, heard_until);
     if (loaded_)
     {
         watch_workers(now);
--- a/src/cell_owner_load.cpp
+++ b/src/cell_owner_load.cpp
@@ -68,7 +68,7 @@
     if (result.status != store_status::ok)
     {
         if (table == state_table::log)
-            journal_.reset_log();
+            loaded_log_rows_.clear();
         scan_table(table, "");
         return;
     }
@@ -156,7 +156,7 @@
                      fmt::format("table={} key={} entries={}", row.table,
                                  row.key, unreadable));
     if (number)
-        journal_.load_log_row(*number, std::move(entries));
+        loaded_log_rows_[*number] = std::move(entries);
 }
 
 void cell_owner::load_log_entry(const log_entry& entry)
@@ -193,6 +193,10 @@
 void cell_owner::finish_load(time_point now)
 {
     loaded_ = true;
+    // Not before: commits go on meanwhile, and one that knows a part of the log
+    // would write over rows that are not read yet.
+    for (auto& [number, entries] : std::exchange(loaded_log_rows_, {}))
+        journal_.load_log_row(number, std::move(entries));
     journal_.log().for_each([this](const log_entry& entry)
                             { load_log_entry(entry); });
     for (auto& [id, job] : jobs_)
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -97,7 +97,8 @@
     void tick(time_point now, time_point heard_until);
     /// Acts on the events since the last call: places tasks, calls workers and
     /// commits changes. Does nothing after ownership was lost or released.
-    void finish_batch(time_point now);
+    /// All answers that arrived until `heard_until` have been handled.
+    void finish_batch(time_point now, time_point heard_until);
 
     /// Returns true when another host has claimed the cell.
     bool has_lost_ownership() const
@@ -281,7 +282,7 @@
     /// submission.
     std::vector<reply_address> take_submitters(const std::string& id);
     void refuse_unsent_jobs(time_point now);
-    void update_store_state(time_point now);
+    void update_store_state(time_point now, time_point heard_until);
     void write_dirty_jobs(time_point now);
     void write_final_phase(time_point now, cell_job& job);
     void on_final_phase_durable(time_point now, const std::string& id,
@@ -402,6 +403,8 @@
     bool loaded_ = false;
     std::map<op_id, state_table> pending_scans_;
     std::set<state_table> loaded_tables_;
+    /// Rows of the log by number, until all are read.
+    std::map<std::uint64_t, std::vector<log_entry>> loaded_log_rows_;
     time_point claimed_at_;
     std::vector<std::pair<std::string, nlohmann::json>> deferred_requests_;
 
--- a/tests/test_cell_recovery.cpp
+++ b/tests/test_cell_recovery.cpp
@@ -234,6 +234,39 @@
     cell.check_all_done(1, 2);
 }
 
+TEST_CASE("A new owner writes over no row of the log that it has not read")
+{
+    // Guards against an accepted job that is lost when an owner commits between
+    // two pages of the log.
+    recovery_test_cell cell;
+    for (const auto* host : {"h0", "h1", "h2"})
+        cell.kill_host(host);
+    const cell_job job(
+        cell.job_id(1), "big", "batch", cell.make_work(1, 1000),
+        cell.unix_offset_ms + cell.now.time_since_epoch() / milliseconds(1), 1);
+    // The second page ends before row 1001, and a log of this size is
+    // rewritten.
+    for (std::uint64_t row = 1; row <= 1300; ++row)
+        cell.store.put(
+            cell_table::log, log_row_key(row),
+            row == 1001
+                ? to_line({log_entry_kind::job, job.id(), job.spec_text()})
+                : to_line({log_entry_kind::progress, "x", "{}"}));
+    cell.store_delay = milliseconds(300);
+    for (const auto* host : {"h0", "h1", "h2"})
+        cell.start_host(host, "dc0");
+    REQUIRE(cell.run_until(milliseconds(8000),
+                           [&] { return !cell.owner().empty(); }));
+    cell.kill_host(cell.owner());
+    cell.store_delay = milliseconds(4);
+    REQUIRE(cell.run_until(milliseconds(8000),
+                           [&] { return !cell.owner().empty(); }));
+    REQUIRE(
+        cell.run_until(milliseconds(9000), [&]
+                       { return cell.stored_phase(job.id()).has_value(); }));
+    CHECK(cell.first_violation() == "none");
+}
+
 TEST_CASE("While the store is down accepted jobs run on and new jobs are "
           "refused and never run")
 {
