Acknowledge no end before the final phase that replaces its progress

A final phase removed the queued progress of its job, while the worker's ends still waited for it alone: they were acknowledged with the commit before, and a takeover then ran the task again. The final phase now takes the place of the progress in the queue. A job that was submitted again after its id was forgotten was ended by the later entry of the same commit; forgotten ids now come first. The size of a commit counts whole lines.

--- a/src/cell_journal.cpp
+++ b/src/cell_journal.cpp
@@ -54,10 +54,18 @@
 
 void cell_journal::append(time_point now, log_entry entry, callback on_durable)
 {
-    if (entry.kind == log_entry_kind::ended)
-        cancel_queued(log_entry_kind::progress, entry.job);
     const entry_key key{entry.kind, entry.job};
-    const auto found = queued_.find(key);
+    auto found = queued_.find(key);
+    const auto progress =
+        entry.kind == log_entry_kind::ended
+            ? queued_.find({log_entry_kind::progress, entry.job})
+            : queued_.end();
+    if (found == queued_.end() && progress != queued_.end())
+    {
+        // In the place of the progress: what waits for that waits for the end.
+        found = queued_.emplace(key, progress->second).first;
+        queued_.erase(progress);
+    }
     if (found == queued_.end())
     {
         queue_.push_back({std::move(entry), {}, now, ++last_sequence_});
@@ -130,16 +138,17 @@
     for (const auto& entry :
          log_.entries_to_rewrite(config::cell_max_rewritten_bytes))
         add_to_batch(row_text, entry);
+    // A job may be submitted again after its id was forgotten.
+    for (const auto& job : std::exchange(forgotten_jobs_, {}))
+        add_to_batch(row_text, {log_entry_kind::forgotten, job, {}});
     while (!queue_.empty() && bytes < config::max_commit_bytes)
     {
         const auto& entry = queue_.front().entry;
-        bytes += entry.text.size();
+        bytes += to_line(entry).size();
         add_to_batch(row_text, entry);
         queued_.erase({entry.kind, entry.job});
         batch_.splice(batch_.end(), queue_, queue_.begin());
     }
-    for (const auto& job : std::exchange(forgotten_jobs_, {}))
-        add_to_batch(row_text, {log_entry_kind::forgotten, job, {}});
     finish_batch_row(row_text);
     for (auto& [name, value] : std::exchange(queued_rows_, {}))
         commit_writes_.push_back(
--- a/tests/test_cell_journal.cpp
+++ b/tests/test_cell_journal.cpp
@@ -200,6 +200,44 @@
     CHECK(acknowledged);
 }
 
+TEST_CASE("An end is not acknowledged before the final phase that replaces its "
+          "progress is stored")
+{
+    // Guards against a task that runs again: its worker has forgotten the end
+    // and the store never had it.
+    journal_fixture fixture;
+    fixture.append("b", "x");
+    const auto first = fixture.wait_for_commit(milliseconds(50));
+    REQUIRE(first);
+    fixture.journal.append(fixture.now, {log_entry_kind::progress, "a", "x"});
+    bool acknowledged = false;
+    fixture.journal.when_durable([&] { acknowledged = true; });
+    fixture.journal.append(fixture.now, {log_entry_kind::ended, "a", "y"});
+    fixture.confirm(*first);
+    CHECK_FALSE(acknowledged);
+    const auto second = fixture.wait_for_commit(milliseconds(50));
+    REQUIRE(second);
+    REQUIRE(second->writes.size() == 2);
+    CHECK(second->writes[1].value == "e a y\n");
+    fixture.confirm(*second);
+    CHECK(acknowledged);
+}
+
+TEST_CASE("A job that is submitted again after it was forgotten is kept")
+{
+    // Guards against an accepted job that the next owner does not find.
+    journal_fixture fixture;
+    fixture.journal.forget("a");
+    fixture.append("a", "x");
+    const auto commit = fixture.wait_for_commit(milliseconds(50));
+    REQUIRE(commit);
+    fixture.confirm(*commit);
+    std::size_t jobs = 0;
+    fixture.journal.log().for_each([&](const log_entry& entry)
+                                   { jobs += entry.text == "x" ? 1 : 0; });
+    CHECK(jobs == 1);
+}
+
 TEST_CASE("A submission that is dropped does not hold back what waits for it")
 {
     // Guards against acknowledgements that were lost with the queued write
