--- a/tests/test_cell_journal.cpp
+++ b/tests/test_cell_journal.cpp
@@ -178,7 +178,7 @@
     // The service accepts 100 rows of 64 KiB in base64.
     CHECK(commit->writes.size() <= 100);
     for (const auto& write : commit->writes)
-        CHECK(write.value->size() <= 48 * 1024);
+        CHECK(write.value->size() <= std::size_t{48} * 1024);
     CHECK(fixture.confirm(*commit) == cell_journal::outcome::committed);
     CHECK(durable == 3000);
 }
@@ -357,7 +357,7 @@
                   entry.job] = entry.text;
         });
     CHECK(found == expected);
-    CHECK(bytes < 700 * 1024);
+    CHECK(bytes < std::size_t{700} * 1024);
     // A takeover reads 500 rows in a call.
     CHECK(rows.size() < 1500);
 }
