Count the time for which the machine was suspended

Callers saw: after a suspension of some seconds a host took its copy of the configuration for confirmed just now. It accepted keys that had been withdrawn meanwhile and refused routes that had been added.

Cause: the clock of the core was the steady clock, which stands still on Linux while the machine is suspended. All ages and deadlines of the core stood still with it.

The core and the HTTP client now read CLOCK_BOOTTIME, so a suspension looks like the freezes that the core already handles. Deadlines of requests are on the same clock: a request whose permission ran out during a suspension is not sent.

--- a/src/cli_client.cpp
+++ b/src/cli_client.cpp
@@ -67,8 +67,8 @@
     request.method = method;
     request.url = options.url + path;
     request.body = body;
-    request.deadline = std::chrono::steady_clock::now() +
-                       std::chrono::milliseconds(options.timeout_ms);
+    request.deadline =
+        boot_clock::now() + std::chrono::milliseconds(options.timeout_ms);
     if (!options.key.empty())
         request.headers.emplace_back("Authorization", "Bearer " + options.key);
     if (!idempotency_key.empty())
--- a/src/shell_cell.cpp
+++ b/src/shell_cell.cpp
@@ -243,7 +243,7 @@
     cell_adapters adapters_;
     random_bytes entropy_;
     random_bytes peer_entropy_; // Of the links' thread.
-    steady_clock_adapter clock_;
+    boot_clock_adapter clock_;
     bounded_ring<cell_event> ring_;
     cell_event_sink sink_;
     std::atomic<bool> ready_{false};
--- a/src/shell_http_client.cpp
+++ b/src/shell_http_client.cpp
@@ -17,8 +17,6 @@
 namespace
 {
 
-using steady = std::chrono::steady_clock;
-
 constexpr long connect_timeout_ms = 1000;
 constexpr int poll_ms = 500;
 /// Connections kept open; the library's own limit follows the requests in
@@ -112,7 +110,7 @@
     curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, connect_timeout_ms);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        request.deadline - steady::now());
+        request.deadline - boot_clock::now());
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
                      std::max(1L, static_cast<long>(left.count())));
     curl_easy_setopt(handle, CURLOPT_PRIVATE, &self);
@@ -200,7 +198,7 @@
     {
         for (auto& item : ring_.pop_all(std::chrono::microseconds(0)))
         {
-            const auto now = steady::now();
+            const auto now = boot_clock::now();
             if (now >= item->request.send_before ||
                 now >= item->request.deadline)
             {
@@ -298,12 +296,12 @@
 }
 
 http_request timed_request(const char* method, std::string url,
-                           steady::duration timeout)
+                           boot_clock::duration timeout)
 {
     http_request request;
     request.method = method;
     request.url = std::move(url);
-    request.deadline = steady::now() + timeout;
+    request.deadline = boot_clock::now() + timeout;
     request.send_before = request.deadline;
     return request;
 }
@@ -319,7 +317,7 @@
 
 http_response http_call(http_request request)
 {
-    if (request.send_before == steady::time_point())
+    if (request.send_before == boot_clock::time_point())
         request.send_before = request.deadline;
     std::promise<http_response> promise;
     auto answer = promise.get_future();
--- a/src/shell_http_client_p.hpp
+++ b/src/shell_http_client_p.hpp
@@ -1,7 +1,6 @@
 /// HTTP client on a thread of its own.
 #pragma once
 
-#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -11,6 +10,7 @@
 #include <vector>
 
 #include "event_p.hpp"
+#include "shell_clock_p.hpp"
 
 namespace carobcourse
 {
@@ -21,9 +21,9 @@
     std::string url;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
-    std::chrono::steady_clock::time_point deadline;
+    boot_clock::time_point deadline;
     /// Not sent at all once this has passed.
-    std::chrono::steady_clock::time_point send_before;
+    boot_clock::time_point send_before;
 };
 
 struct http_response
@@ -65,7 +65,7 @@
 
 /// A request whose time is over `timeout` from now.
 http_request timed_request(const char* method, std::string url,
-                           std::chrono::steady_clock::duration timeout);
+                           boot_clock::duration timeout);
 
 /// Percent-encodes a path segment or query value.
 std::string url_encode(const std::string& text);
--- a/src/shell_platform.cpp
+++ b/src/shell_platform.cpp
@@ -16,7 +16,6 @@
 {
 
 using json = nlohmann::json;
-using steady = std::chrono::steady_clock;
 
 constexpr http_client_limits store_limits{512, 16};
 constexpr http_client_limits host_list_limits{4, 1};
@@ -144,18 +143,6 @@
 
 } // namespace
 
-time_point steady_clock_adapter::now() const
-{
-    return time_point(
-        std::chrono::duration_cast<duration>(steady::now().time_since_epoch()));
-}
-
-steady::time_point to_steady(time_point deadline)
-{
-    return steady::time_point(std::chrono::duration_cast<steady::duration>(
-        deadline.time_since_epoch()));
-}
-
 // ------------------------------------------------------------- table service
 
 http_table_service::http_table_service(std::string base_url, event_sink sink)
@@ -252,7 +239,7 @@
 {
     auto request = timed_request("POST", message.address + "/v1/sync",
                                  config::worker_sync_timeout);
-    request.send_before = to_steady(message.send_before);
+    request.send_before = to_boot_time(message.send_before);
     request.body = to_json(message).dump();
     const auto worker = message.worker;
     const auto sequence = message.sequence;
@@ -294,7 +281,7 @@
     http_request request;
     request.method = "POST";
     request.url = execute.address + "/v1/execute";
-    request.deadline = to_steady(execute.deadline);
+    request.deadline = to_boot_time(execute.deadline);
     request.send_before = request.deadline;
     request.headers = {{"X-Request-Id", execute.request},
                        {"X-Attempt", std::to_string(execute.attempt)},
--- a/src/shell_platform_p.hpp
+++ b/src/shell_platform_p.hpp
@@ -14,16 +14,6 @@
 /// Takes events from the adapters' threads; never drops one.
 using event_sink = std::function<void(event)>;
 
-/// Monotonic clock of the process.
-class steady_clock_adapter final : public clock
-{
-public:
-    time_point now() const override;
-};
-
-/// Converts a deadline of the core to the monotonic clock of the shell.
-std::chrono::steady_clock::time_point to_steady(time_point deadline);
-
 class http_table_service final : public table_service
 {
 public:
--- a/src/shell_serve.cpp
+++ b/src/shell_serve.cpp
@@ -232,7 +232,7 @@
     blocked_signals signals_{SIGTERM, SIGINT};
     system_entropy entropy_;
     system_entropy peer_entropy_; // Of the links' thread; never traced.
-    steady_clock_adapter clock_;
+    boot_clock_adapter clock_;
     bounded_ring<event> ring_;
     event_sink sink_;
     std::unique_ptr<entry_host> core_;
--- a/tests/process_harness.hpp
+++ b/tests/process_harness.hpp
@@ -172,7 +172,7 @@
     request.headers = std::move(headers);
     if (!key.empty())
         request.headers.emplace_back("Authorization", "Bearer " + key);
-    request.deadline = std::chrono::steady_clock::now() + timeout;
+    request.deadline = boot_clock::now() + timeout;
     const auto response = http_call(std::move(request));
     if (response.status != send_status::answered)
         return {};
--- a/tests/test_process_bad_input.cpp
+++ b/tests/test_process_bad_input.cpp
@@ -159,7 +159,7 @@
         {
             http_request request;
             request.url = url + "/metrics";
-            request.deadline = std::chrono::steady_clock::now() + 5s;
+            request.deadline = boot_clock::now() + 5s;
             return http_call(std::move(request)).body.find(line) !=
                    std::string::npos;
         };
--- a/tests/test_process_requests.cpp
+++ b/tests/test_process_requests.cpp
@@ -214,7 +214,7 @@
     request.method = "POST";
     request.url = url;
     request.body = body;
-    request.deadline = std::chrono::steady_clock::now() + 5s;
+    request.deadline = boot_clock::now() + 5s;
     request.send_before = request.deadline;
     client.send(std::move(request), [&promise](const http_response& response)
                 { promise.set_value(response); });
@@ -766,7 +766,7 @@
     request.method = "POST";
     request.url = server.url();
     request.body = "first";
-    request.deadline = std::chrono::steady_clock::now() + 500ms;
+    request.deadline = boot_clock::now() + 500ms;
     request.send_before = request.deadline;
     std::promise<http_response> promise;
     client.send(std::move(request), [&promise](const http_response& response)
@@ -958,7 +958,7 @@
     {
         http_request request;
         request.url = url + "/metrics";
-        request.deadline = std::chrono::steady_clock::now() + start_timeout;
+        request.deadline = boot_clock::now() + start_timeout;
         const auto text = http_call(std::move(request)).body;
         std::smatch match;
         const std::regex line("\n" + name + " ([0-9]+)");
--- a/tests/test_shell_http_client.cpp
+++ b/tests/test_shell_http_client.cpp
@@ -65,7 +65,7 @@
     request.url = url;
     request.body = "body";
     request.deadline =
-        std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        boot_clock::now() + std::chrono::seconds(5);
     request.send_before = request.deadline;
     client.send(request, [&promise](const http_response& response)
                 { promise.set_value(response); });
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -103,7 +103,7 @@
         request.headers.emplace_back("X-Request-Id", std::to_string(i));
         request.headers.emplace_back("X-Attempt", "1");
         request.body = what.body;
-        request.deadline = steady::now() + call_timeout;
+        request.deadline = boot_clock::now() + call_timeout;
         request.send_before = request.deadline;
         {
             const std::lock_guard<std::mutex> lock(result.mutex);
@@ -144,7 +144,7 @@
     request.body = body;
     if (!key.empty())
         request.headers.emplace_back("Authorization", "Bearer " + key);
-    request.deadline = steady::now() + call_timeout;
+    request.deadline = boot_clock::now() + call_timeout;
     const auto response = http_call(std::move(request));
     auto parsed = json::parse(response.body, nullptr, false);
     return parsed.is_discarded() ? json() : parsed;
--- a/tools/standin.cpp
+++ b/tools/standin.cpp
@@ -136,7 +136,7 @@
         request.method = "POST";
         request.url = options_.register_url + "/control/hosts";
         request.body = json{{"hosts", hosts}}.dump();
-        request.deadline = steady::now() + register_timeout;
+        request.deadline = boot_clock::now() + register_timeout;
         http_call(std::move(request));
     }
 
