Replace the idle connections to the store after a timeout

Callers saw: after open connections had gone silent, a change of the configuration was not in force for several seconds, while the store answered on new connections.

Cause: a watch that got no answer timed out after 2 s, and the next one took the next pooled connection, which was silent too. Each pooled connection cost another timeout.

After a timeout, as many requests as the pool may hold connections each take a new one, and the library closes the oldest idle one for each.

--- a/src/shell_http_client.cpp
+++ b/src/shell_http_client.cpp
@@ -208,6 +208,11 @@
             item->handle = take_handle();
             prepare(*item);
             auto* handle = item->handle;
+            if (fresh_left_ > 0)
+            {
+                --fresh_left_;
+                curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+            }
             active_[handle] = std::move(item);
             curl_multi_add_handle(multi_, handle);
         }
@@ -248,6 +253,8 @@
             item->response.http_status = static_cast<int>(http_status);
             long request_bytes = 0;
             curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &request_bytes);
+            if (code == CURLE_OPERATION_TIMEDOUT)
+                fresh_left_ = limits_.fresh_after_timeout;
             const bool issued = request_bytes > 0 || item->body_sent > 0;
             keep_handle(*item);
             complete(*item, status_of(code, issued));
@@ -280,6 +287,8 @@
     CURLM* multi_;
     std::map<CURL*, std::unique_ptr<transfer>> active_;
     std::vector<CURL*> idle_; ///< Used by the thread only.
+    /// Requests that are still to take a new connection. Thread only.
+    std::size_t fresh_left_ = 0;
     std::thread thread_;
 };
 
--- a/src/shell_http_client_p.hpp
+++ b/src/shell_http_client_p.hpp
@@ -41,6 +41,11 @@
 {
     std::size_t in_flight = 1024;
     long connections_per_host = 8;
+    /// Number of requests that take a new connection after one has timed out:
+    /// idle connections may have gone silent with it, and only a request shows
+    /// that. With `connections_per_host` of them all idle ones are replaced.
+    /// For a client of a single server.
+    std::size_t fresh_after_timeout = 0;
 };
 
 /// Sends requests over pooled connections. Thread safe.
