Answer by a configuration only as far as it is known to be the newest

Callers saw: 404 and 401 for routes and keys that had been added seconds before, by hosts that had lost touch; routes that one host served and the next refused; keyed calls refused by hosts that the store turned away.

Cause, one class: a host answered by its copy of the operator's rows without asking what it knows of the copy's age. - The queue was looked up before the age was asked, so a 404 needed no confirmed copy, and other refusals one of 4 s where 2 s are the bound. - No message between hosts named a version. A host that made calls for an owner of a newer version went on answering by its own. - A read older than what the host had applied was taken for the present state: it called the copy confirmed and brought back data centres that had been taken out. The version of the last page of a scan was taken for all pages, so that a change between two was missed until the next. - A lost history that reads did not reach led to a watch and a read in turn without a pause. A row that could not be read was not read again.

Evidence: test_cell_config. The case of the suspended host passed before, as the clock of the harness goes on; test_shell_clock has it.

Now the copy has the time as of which it is known to be the newest, and a floor, the highest version that any host has shown. Heartbeats and their acknowledgements, submissions and an announcement by the owner carry the version; a heartbeat also carries the age of the owner's evidence, dated like the counts of waiting jobs. A call under a version that the host does not have yet is held for up to 0.3 s; after 0.1 s the host asks for the row where it heard of it. What is not confirmed as of the last 2 s is refused with 503 and not for good. A host that must confirm by itself watches for 0.5 s at a time, as a watch of 1 s leaves evidence of 2 s. Reads behind what is known are refused and repeated, and the table is read again 3 s after a lost history or an unreadable row.

test_cell_path expected a host without the store to know nothing of a withdrawn key. It now learns of it from the owner and refuses the key for good, which is stricter. The case cuts the host from the owner as well, with the same checks.

The harness drops the pending watches of a host that loses the store, and redials a host that was killed, as the real links do.

--- a/src/cell_config_watcher_p.hpp
+++ b/src/cell_config_watcher_p.hpp
@@ -5,7 +5,9 @@
 #include <carobcourse/types.hpp>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 
 #include "cell_context_p.hpp"
 
@@ -15,6 +17,12 @@
 /// Scans the table of the operator once and then watches it for changes.
 /// Writes `cell_context::config` and `cell_context::evacuated_data_centres`. At
 /// most one store operation is pending. Used by the core thread only.
+///
+/// The configuration is confirmed as of the latest time at which it is known to
+/// have been the newest one. That time is the start of a request to the store,
+/// or comes from the owner of the cell, so that a host that the store turns
+/// away can still answer. A version that another host has shown is a floor:
+/// nothing older is confirmed.
 class cell_config_watcher
 {
 public:
@@ -27,33 +35,99 @@
     bool on_store(time_point now, const store_result& result);
     /// As for `on_store`.
     bool on_watch(time_point now, const watch_result& result);
-    /// Latest time at which the applied rows are known to have been those of
-    /// the store.
+
+    /// Takes note that the host `from` applies this version.
+    void on_version_heard(time_point now, const std::string& from,
+                          std::uint64_t version);
+    /// Takes note that `version` was the newest one as of `as_of`, which is not
+    /// in the future.
+    void confirm(std::uint64_t version, time_point as_of);
+    /// Takes the row that another host sent for `next_row_request`.
+    void on_row_received(const std::string& key, const std::string& value);
+    /// Returns the host to ask for its row of the configuration, when it has
+    /// shown a newer version that the store has not delivered in time.
+    std::optional<std::string> next_row_request(time_point now);
+
+    /// Whether a version newer than the applied one is known to exist.
+    bool is_superseded() const
+    {
+        return known_version_ > version();
+    }
+    /// Whether the configuration is known to have been the newest one at a time
+    /// that is at most `max_age` ago.
+    bool is_confirmed(time_point now, duration max_age) const
+    {
+        return context_.config && !is_superseded() &&
+               now <= confirmed_at_ + max_age;
+    }
     time_point confirmed_at() const
     {
         return confirmed_at_;
     }
+    /// Who confirmed it last: "store", "owner" or "nobody". For logs.
+    const char* confirmed_by() const
+    {
+        return confirmed_by_;
+    }
+    /// Version of the applied configuration; 0 when there is none.
+    std::uint64_t version() const
+    {
+        return context_.config ? context_.config->version() : 0;
+    }
+    std::uint64_t known_version() const
+    {
+        return known_version_;
+    }
+    /// Key and value of the row of the applied configuration. Both are empty
+    /// when there is none.
+    const std::pair<std::string, std::string>& row() const
+    {
+        return row_;
+    }
 
 private:
-    /// Applies a row that was written. A configuration that is unreadable or
-    /// not newer than the current one is skipped.
-    void apply(const std::string& key, const std::string& value);
-    /// Applies the removal of a row.
-    void remove(const std::string& key);
+    struct decoded_row
+    {
+        std::string key;
+        std::string value;
+        cell_config_ptr config;
+    };
+
     /// Requests the page behind the key `after`; an empty key restarts the
     /// scan.
     void scan(std::string after);
+    /// Applies the rows of a complete scan. Returns false, and applies none,
+    /// when they are older than what this host knows.
+    bool apply_scan();
+    /// Returns null when the row is no configuration or can not be decoded. In
+    /// the second case the table is read again later.
+    cell_config_ptr decode(const std::string& key, const std::string& value);
+    /// Skips a configuration that is not newer than the current one.
+    void apply(const decoded_row& row);
+    void set_evacuated(std::set<std::string> data_centres);
+    void set_confirmed(time_point as_of, const char* by);
 
     cell_context& context_;
     std::optional<op_id> pending_op_;
     time_point request_sent_at_;
     time_point next_request_at_;
     time_point confirmed_at_;
+    const char* confirmed_by_ = "nobody";
+    time_point owner_evidence_at_;
+    /// When the table is read again although it is watched.
+    std::optional<time_point> rescan_at_;
+    time_point history_lost_at_;
     std::uint64_t version_ = 0; ///< Version of the table that is applied.
     bool watching_ = false;     ///< False: the table must be scanned first.
     bool watch_failing_ = false;
+    std::uint64_t known_version_ = 0; ///< Highest that any host has shown.
+    std::string newer_host_;          ///< Has shown `known_version_`.
+    time_point next_row_request_at_;
+    std::pair<std::string, std::string> row_;
     /// Rows that the scan in progress has read so far, by key.
     std::map<std::string, std::string> scanned_rows_;
+    /// Version of the table that the oldest page of the scan holds.
+    std::uint64_t scanned_version_ = 0;
 };
 
 } // namespace carobcourse
--- a/src/cell_context_p.hpp
+++ b/src/cell_context_p.hpp
@@ -83,15 +83,16 @@
         effects.emplace_back(scan);
         return scan.op;
     }
-    /// Requests the rows of `table` that change after version `after`.
-    /// Answered by a `watch_result` with the returned id.
-    op_id request_watch(std::string table, std::uint64_t after)
+    /// Requests the rows of `table` that change after version `after`, within
+    /// `wait`. Answered by a `watch_result` with the returned id.
+    op_id request_watch(std::string table, std::uint64_t after,
+                        std::chrono::milliseconds wait)
     {
         store_watch watch;
         watch.op = next_op_id();
         watch.table = std::move(table);
         watch.after = after;
-        watch.wait_ms = config::cell_max_watch_wait.count();
+        watch.wait_ms = wait.count();
         effects.emplace_back(watch);
         return watch.op;
     }
--- a/src/cell_frontend.cpp
+++ b/src/cell_frontend.cpp
@@ -1,5 +1,6 @@
 #include "cell_frontend_p.hpp"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <utility>
 #include <vector>
@@ -20,6 +21,8 @@
 constexpr auto resend_period = std::chrono::milliseconds(600);
 /// Length of a job id in hexadecimal digits.
 constexpr std::size_t job_id_bytes = 16;
+/// Longest time for which a call is held until a newer configuration arrives.
+constexpr auto max_hold_time = std::chrono::milliseconds(300);
 
 bool is_job_id(const std::string& text)
 {
@@ -46,12 +49,6 @@
 
 } // namespace
 
-bool cell_frontend::is_config_fresh(time_point now) const
-{
-    return context_.config &&
-           now <= config_confirmed_at_ + config::cell_max_config_age;
-}
-
 void cell_frontend::answer(caller_answer answer)
 {
     answer.close_connection = answer.close_connection || connections_closing_;
@@ -66,10 +63,12 @@
     context_.counters.count_refusal(code);
     context_.log(
         log_code::cell_call_refused,
-        fmt::format("path={} verb={} code={} config={} config_age_ms={}",
+        fmt::format("path={} verb={} code={} config={} config_known={} "
+                    "config_age_ms={} confirmed_by={}",
                     request.path, item_kind_of(request.verb), to_string(code),
-                    context_.config ? context_.config->version() : 0,
-                    (now - config_confirmed_at_).count() / 1000));
+                    config_.version(), config_.known_version(),
+                    (now - config_.confirmed_at()).count() / 1000,
+                    config_.confirmed_by()));
     caller_answer reply;
     reply.id = request.id;
     reply.code = code;
@@ -85,6 +84,16 @@
     refuse(now, request, code, retry_after_ms(), !store_failing_);
 }
 
+void cell_frontend::refuse_by_config(time_point now,
+                                     const caller_request& request,
+                                     result_code code)
+{
+    if (config_.is_confirmed(now, config::cell_max_refusal_config_age))
+        refuse(now, request, code);
+    else
+        refuse_locally(now, request, result_code::configuration_stale);
+}
+
 std::int64_t cell_frontend::retry_after_ms() const
 {
     return store_failing_ ? config::cell_retry_after.count() : 0;
@@ -125,6 +134,16 @@
                   call.sent_to.empty() ? result_code::stopping
                                        : result_code::outcome_unknown);
     calls_.clear();
+    for (const auto& held : std::exchange(held_calls_, {}))
+        refuse_locally(now, held.request, result_code::stopping);
+}
+
+void cell_frontend::release_held(time_point now, const sender& send_to_owner)
+{
+    if (config_.is_superseded())
+        return;
+    for (const auto& held : std::exchange(held_calls_, {}))
+        on_request(now, held.request, send_to_owner);
 }
 
 void cell_frontend::on_request(time_point now, const caller_request& request,
@@ -141,14 +160,24 @@
         refuse(now, request, result_code::no_configuration, retry);
         return;
     }
+    if (config_.is_superseded())
+    {
+        context_.counters.count("carobcourse_calls_held_total");
+        held_calls_.push_back(
+            {request, std::min<time_point>(now + max_hold_time,
+                                           request.deadline -
+                                               config::cell_answer_margin)});
+        return;
+    }
     const auto* queue =
         context_.config->find_queue_by_path(request.host, request.path);
     if (!queue)
     {
-        refuse(now, request, result_code::not_found);
+        refuse_by_config(now, request, result_code::not_found);
         return;
     }
-    if (!queue->allows_anonymous && !is_config_fresh(now))
+    if (!queue->allows_anonymous &&
+        !config_.is_confirmed(now, config::cell_max_config_age))
     {
         refuse_locally(now, request, result_code::configuration_stale);
         return;
@@ -156,9 +185,9 @@
     const auto* customer = context_.config->find_customer_by_key(request.key);
     if (!queue->allows_anonymous && !customer)
     {
-        refuse(now, request,
-               request.key.empty() ? result_code::key_missing
-                                   : result_code::key_unknown);
+        refuse_by_config(now, request,
+                         request.key.empty() ? result_code::key_missing
+                                             : result_code::key_unknown);
         return;
     }
     const auto id = request.path.substr(queue->prefix.size());
@@ -196,6 +225,7 @@
         item["q"] = queue->name;
         item["cu"] = customer ? customer->name : std::string();
         item["w"] = to_json(**work);
+        item["cv"] = config_.version();
     }
     pending_call call;
     call.item = std::move(item);
@@ -236,6 +266,10 @@
 void cell_frontend::on_abandoned(call_id id)
 {
     calls_.erase(id);
+    held_calls_.erase(std::remove_if(held_calls_.begin(), held_calls_.end(),
+                                     [id](const held_call& held)
+                                     { return held.request.id == id; }),
+                      held_calls_.end());
 }
 
 void cell_frontend::resend(const sender& send_to_owner)
@@ -246,6 +280,12 @@
 
 void cell_frontend::tick(time_point now, const sender& send_to_owner)
 {
+    while (!held_calls_.empty() && now >= held_calls_.front().deadline)
+    {
+        refuse_locally(now, held_calls_.front().request,
+                       result_code::configuration_stale);
+        held_calls_.erase(held_calls_.begin());
+    }
     std::vector<std::pair<call_id, result_code>> failed_calls;
     for (auto& [id, call] : calls_)
     {
--- a/src/cell_frontend_p.hpp
+++ b/src/cell_frontend_p.hpp
@@ -9,7 +9,9 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "cell_config_watcher_p.hpp"
 #include "cell_context_p.hpp"
 
 namespace carobcourse
@@ -21,14 +23,19 @@
 class cell_frontend
 {
 public:
-    explicit cell_frontend(cell_context& context) : context_(context) {}
+    /// Both must outlive this object.
+    cell_frontend(cell_context& context, const cell_config_watcher& config)
+        : context_(context), config_(config)
+    {
+    }
 
     /// Sends an item to the owner of the cell. Returns the host that it was
     /// sent to, or an empty string when no owner is reachable.
     using sender = std::function<std::string(const nlohmann::json&)>;
 
-    /// Refuses the call at once, answers a count of waiting jobs, or forwards
-    /// the call to the owner.
+    /// Refuses the call at once, answers a count of waiting jobs, forwards the
+    /// call to the owner, or holds it until a newer configuration that is known
+    /// to exist has arrived.
     void on_request(time_point now, const caller_request& request,
                     const sender& send_to_owner);
     /// Passes the answer of an owner on to the caller. Ignores it unless `from`
@@ -54,15 +61,8 @@
         if (counts.as_of >= waiting_counts_.as_of)
             waiting_counts_ = std::move(counts);
     }
-    /// Records that the configuration was current in the store at time `at`.
-    /// An earlier time than the recorded one is ignored.
-    void set_config_confirmed_at(time_point at)
-    {
-        config_confirmed_at_ = std::max(config_confirmed_at_, at);
-    }
-    /// Whether the configuration was confirmed recently enough to accept the
-    /// keys in it.
-    bool is_config_fresh(time_point now) const;
+    /// Handles the held calls if the configuration is the newest one known.
+    void release_held(time_point now, const sender& send_to_owner);
     /// Sets whether the commits of the owner fail. While they do, no host can
     /// accept work, so callers are told to retry later instead of elsewhere.
     void set_store_failing(bool failing)
@@ -75,10 +75,10 @@
     {
         connections_closing_ = true;
     }
-    /// Number of calls that wait for an answer of the owner.
+    /// Number of calls that are held or wait for an answer of the owner.
     std::size_t pending_count() const
     {
-        return calls_.size();
+        return calls_.size() + held_calls_.size();
     }
 
 private:
@@ -94,6 +94,17 @@
         std::string sent_to;
     };
 
+    struct held_call
+    {
+        caller_request request;
+        time_point deadline; ///< Refused then.
+    };
+
+    /// Refuses a call because of what the configuration does not hold: for
+    /// good with `code` if the configuration is confirmed, otherwise so that
+    /// the caller tries another host.
+    void refuse_by_config(time_point now, const caller_request& request,
+                          result_code code);
     /// Answers `call` with `code` and logs it. The caller of this function
     /// removes the call.
     void fail_call(time_point now, call_id id, const pending_call& call,
@@ -119,9 +130,10 @@
                               const queue_config& queue);
 
     cell_context& context_;
+    const cell_config_watcher& config_;
     std::map<call_id, pending_call> calls_;
+    std::vector<held_call> held_calls_; ///< In order of arrival.
     waiting_counts waiting_counts_;
-    time_point config_confirmed_at_;
     bool store_failing_ = false;
     bool connections_closing_ = false;
     bool shut_down_ = false;
--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -34,6 +34,10 @@
 /// after this time.
 constexpr auto max_heartbeat_delay = std::chrono::milliseconds(40);
 
+/// Longest time for which the owner holds a call until it has the configuration
+/// that the sender of the call has applied.
+constexpr auto max_item_hold_time = std::chrono::milliseconds(300);
+
 /// Calls that are still pending this long before the time limit of a stop get
 /// their final answer then.
 constexpr auto final_answer_period = std::chrono::milliseconds(400);
@@ -47,6 +51,16 @@
     return found->get<std::int64_t>();
 }
 
+/// Returns the version of the configuration that the sender of the item has
+/// applied, or nothing when the item does not name it.
+std::optional<std::uint64_t> find_version(const json& item)
+{
+    const auto version = find_integer(item, "cv");
+    if (!version || *version < 0)
+        return std::nullopt;
+    return static_cast<std::uint64_t>(*version);
+}
+
 duration claim_delay(const cell_identity& identity)
 {
     const auto missing = std::clamp(
@@ -60,7 +74,7 @@
                      entropy_source& entropy,
                      const external_row_reader& external_rows)
     : context_(std::move(identity), seed, entropy, external_rows),
-      config_watcher_(context_), frontend_(context_),
+      config_watcher_(context_), frontend_(context_, config_watcher_),
       election_(context_.identity.host, context_.identity.incarnation,
                 context_.identity.peer_address, claim_delay(context_.identity),
                 seed)
@@ -127,7 +141,8 @@
 void cell_host::on_event(time_point now, const timer_tick&)
 {
     config_watcher_.tick(now);
-    frontend_.set_config_confirmed_at(config_watcher_.confirmed_at());
+    if (const auto host = config_watcher_.next_row_request(now))
+        post(*host, {{"k", "config_request"}});
     fetch_secret(now);
     update_membership(now);
     run_election(now);
@@ -139,6 +154,7 @@
     else
         check_owner_silence(now);
     update_peers(now);
+    release_held_items(now);
     frontend_.tick(now, make_owner_sender(now));
     report_readiness(now);
     check_stop(now);
@@ -163,7 +179,7 @@
 {
     if (config_watcher_.on_store(now, result))
     {
-        frontend_.set_config_confirmed_at(config_watcher_.confirmed_at());
+        after_config_event(now);
         config_watcher_.tick(now);
         return;
     }
@@ -205,7 +221,7 @@
 {
     if (config_watcher_.on_watch(now, result))
     {
-        frontend_.set_config_confirmed_at(config_watcher_.confirmed_at());
+        after_config_event(now);
         config_watcher_.tick(now);
         return;
     }
@@ -381,6 +397,8 @@
             found->second.leaving = item.at("leaving").get<bool>();
             found->second.clock_us = find_integer(item, "t");
         }
+        if (const auto version = find_version(item))
+            config_watcher_.on_version_heard(now, from, *version);
     }
     else if (kind == "call")
     {
@@ -405,8 +423,68 @@
     }
     else if (kind == "answer")
         frontend_.on_answer(now, from, item);
+    else if (kind == "config_version")
+        config_watcher_.on_version_heard(now, from,
+                                         item.at("v").get<std::uint64_t>());
+    else if (kind == "config_request")
+    {
+        const auto& [key, value] = config_watcher_.row();
+        if (!key.empty())
+            post(from, {{"k", "config"}, {"key", key}, {"value", value}});
+    }
+    else if (kind == "config")
+    {
+        config_watcher_.on_row_received(item.at("key").get<std::string>(),
+                                        item.at("value").get<std::string>());
+        after_config_event(now);
+    }
     else if (owner_)
-        owner_->on_caller_request(now, from, item);
+        on_owner_item(now, from, item);
+}
+
+void cell_host::on_owner_item(time_point now, const std::string& from,
+                              const json& item)
+{
+    const auto version = find_version(item);
+    if (version && *version > config_watcher_.version())
+    {
+        config_watcher_.on_version_heard(now, from, *version);
+        held_items_.push_back({from, item, now + max_item_hold_time});
+        return;
+    }
+    owner_->on_caller_request(now, from, item);
+}
+
+void cell_host::release_held_items(time_point now)
+{
+    if (held_items_.empty())
+        return;
+    for (auto& held : std::exchange(held_items_, {}))
+    {
+        if (!owner_)
+            continue; // The host that sent it sends it to the next owner.
+        const auto version = find_version(held.item);
+        if (now < held.deadline && version &&
+            *version > config_watcher_.version())
+            held_items_.push_back(std::move(held));
+        else
+            owner_->on_caller_request(now, held.from, held.item);
+    }
+}
+
+void cell_host::after_config_event(time_point now)
+{
+    if (owner_ && config_watcher_.version() > announced_version_)
+    {
+        // Before any call to a worker that shows the effect of the version.
+        announced_version_ = config_watcher_.version();
+        for (const auto& [host, member] : members_)
+            if (member.connected)
+                post(host,
+                     {{"k", "config_version"}, {"v", announced_version_}});
+    }
+    release_held_items(now);
+    frontend_.release_held(now, make_owner_sender(now));
 }
 
 void cell_host::on_heartbeat(time_point now, const std::string& from,
@@ -428,7 +506,8 @@
         last_ack_confirmed_at_ = now;
     post(from, {{"k", "ack"},
                 {"leaving", stopping_},
-                {"t", now.time_since_epoch().count()}});
+                {"t", now.time_since_epoch().count()},
+                {"cv", config_watcher_.version()}});
     if (followed_owner_ != from || followed_epoch_ != epoch)
     {
         followed_owner_ = from;
@@ -440,6 +519,20 @@
     }
     if (auto counts = read_waiting_counts(now, item))
         frontend_.set_waiting_counts(std::move(*counts));
+    read_config_evidence(now, from, item);
+}
+
+void cell_host::read_config_evidence(time_point now, const std::string& from,
+                                     const json& item)
+{
+    const auto version = find_version(item);
+    if (!version)
+        return;
+    config_watcher_.on_version_heard(now, from, *version);
+    const auto echo = read_echo(now, item);
+    const auto age_us = find_integer(item, "ca");
+    if (echo && age_us && *age_us >= 0)
+        config_watcher_.confirm(*version, *echo - duration(*age_us));
 }
 
 /// The time at which a heartbeat is handled does not tell how old its counts
@@ -451,20 +544,29 @@
 {
     // An owner of the previous build sends counts without evidence of their
     // age.
-    const auto echo_us = find_integer(item, "t");
+    const auto echo = read_echo(now, item);
     const auto age_us = find_integer(item, "wa");
-    if (!item.contains("w") || !echo_us || !age_us || *age_us < 0)
-        return std::nullopt;
-    const time_point echo{duration(*echo_us)};
-    if (echo < *first_handled_at_ || echo > now)
+    if (!item.contains("w") || !echo || !age_us || *age_us < 0)
         return std::nullopt;
     waiting_counts counts;
     counts.by_queue = item["w"].get<std::map<std::string, std::uint64_t>>();
-    counts.as_of = echo - duration(*age_us);
+    counts.as_of = *echo - duration(*age_us);
     counts.epoch = election_.epoch();
     return counts;
 }
 
+std::optional<time_point> cell_host::read_echo(time_point now,
+                                               const json& item) const
+{
+    const auto echo_us = find_integer(item, "t");
+    if (!echo_us)
+        return std::nullopt;
+    const time_point echo{duration(*echo_us)};
+    if (echo < *first_handled_at_ || echo > now)
+        return std::nullopt;
+    return echo;
+}
+
 // ------------------------------------------------------------------ ownership
 
 void cell_host::run_election(time_point now)
@@ -500,6 +602,7 @@
         context_, static_cast<owner_transport&>(*this), election_.claim_row(),
         version, claim_sent_at_, now);
     followed_owner_.clear();
+    announced_version_ = config_watcher_.version();
     next_heartbeat_at_ = now;
     next_member_op_at_ = now;
     for (auto& [host, member] : members_)
@@ -569,12 +672,16 @@
             {"seen", last_handled_at_ <=
                          member.last_ack_at + config::cell_link_timeout}};
         if (counts)
-            heartbeat["w"] = counts->by_queue;
-        if (counts && member.clock_us)
         {
-            heartbeat["t"] = *member.clock_us;
+            heartbeat["w"] = counts->by_queue;
             heartbeat["wa"] = (now - counts->as_of).count();
         }
+        if (context_.config)
+            heartbeat["cv"] = config_watcher_.version();
+        if (context_.config && !config_watcher_.is_superseded())
+            heartbeat["ca"] = (now - config_watcher_.confirmed_at()).count();
+        if (member.clock_us)
+            heartbeat["t"] = *member.clock_us;
         post(host, heartbeat);
     }
 }
@@ -598,7 +705,9 @@
                : election_.has_owner_heartbeat(now) &&
                      connected_hosts_.count(election_.owner()) > 0;
     const bool ready =
-        !stopping_ && frontend_.is_config_fresh(now) && is_owner_reachable;
+        !stopping_ &&
+        config_watcher_.is_confirmed(now, config::cell_max_config_age) &&
+        is_owner_reachable;
     if (readiness_reported_ && ready == ready_)
         return;
     ready_ = ready;
--- a/src/cell_host_p.hpp
+++ b/src/cell_host_p.hpp
@@ -78,6 +78,13 @@
         std::uint64_t id = 0; ///< Id of the call at the owner.
     };
 
+    /// A call to the owner that waits for a version of the configuration.
+    struct held_item
+    {
+        std::string from;
+        nlohmann::json item;
+        time_point deadline; ///< Handled by then in any case.
+    };
     /// The items of a message that has not been sent yet.
     struct message_items
     {
@@ -111,6 +118,21 @@
     /// old they are.
     std::optional<waiting_counts>
     read_waiting_counts(time_point now, const nlohmann::json& item) const;
+    /// Takes what the heartbeat of the owner tells of the configuration.
+    void read_config_evidence(time_point now, const std::string& from,
+                              const nlohmann::json& item);
+    /// Returns the reading of this host's clock that the owner had received
+    /// before it sent the heartbeat, or nothing when there is no valid one.
+    std::optional<time_point> read_echo(time_point now,
+                                        const nlohmann::json& item) const;
+    /// Handles a call to the owner, or holds it until this host has the version
+    /// of the configuration that the sender has applied.
+    void on_owner_item(time_point now, const std::string& from,
+                       const nlohmann::json& item);
+    void release_held_items(time_point now);
+    /// Follows a change of the configuration or of its evidence: announces it
+    /// to the hosts that make calls for this owner, and handles what was held.
+    void after_config_event(time_point now);
     /// Adds an item to the message that is sent to `host` at the end of the
     /// batch of events.
     void post(const std::string& host, const nlohmann::json& item);
@@ -156,6 +178,9 @@
     std::map<std::string, message_items> outbox_;
     /// Answers of the owner on this host to callers of this host.
     std::vector<nlohmann::json> local_answers_;
+    std::vector<held_item> held_items_; ///< In order of arrival.
+    /// Version that this owner has announced last.
+    std::uint64_t announced_version_ = 0;
     /// Calls to workers in progress, by their id on this host.
     std::map<std::uint64_t, relayed_call> relayed_calls_;
     std::map<std::string, member> members_;
--- a/src/cell_limits_p.hpp
+++ b/src/cell_limits_p.hpp
@@ -87,8 +87,12 @@
 /// Interval at which a host reads the list of entry hosts.
 constexpr auto cell_member_poll_interval = 1000ms;
 /// Maximum time that the store waits for a change before it answers a watch.
-/// Limits the age of the confirmed configuration.
 constexpr auto cell_max_watch_wait = 1000ms;
+/// Used in place of `cell_max_watch_wait` by a host that must confirm its
+/// configuration by itself. What a watch confirms is as old as its wait when
+/// the answer comes, and twice that before the next one comes, which must stay
+/// below `cell_max_refusal_config_age`.
+constexpr auto cell_max_confirming_watch_wait = 500ms;
 /// Delay before a failed watch or read is sent again.
 constexpr auto cell_store_retry_delay = 150ms;
 /// Minimum time between two reads of the changes of the worker list. Far below
@@ -98,6 +102,10 @@
 /// requests, because an older one may hold withdrawn keys. The platform
 /// requires at most 5 s.
 constexpr auto cell_max_config_age = 4000ms;
+/// Maximum age of the confirmed configuration for which a host refuses a call
+/// for good because of what the configuration does not hold. The platform
+/// requires that a change is in force after 2 s.
+constexpr auto cell_max_refusal_config_age = 2000ms;
 /// Maximum number of rows in one page of a scan.
 constexpr std::size_t cell_scan_page_rows = 500;
 /// Timeout of a call to the store, and maximum time after which an unanswered
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -49,8 +49,9 @@
         scan_table(state_table::workers, "");
         return;
     }
-    worker_watch_ = context_.request_watch(
-        context_.external_rows.worker_table(), worker_version_);
+    worker_watch_ =
+        context_.request_watch(context_.external_rows.worker_table(),
+                               worker_version_, config::cell_max_watch_wait);
 }
 
 bool cell_owner::on_watch(time_point now, const watch_result& result)
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -106,7 +106,17 @@
     std::map<std::string, std::map<std::string, stored_row>> tables;
     std::uint64_t version = 0;
     std::uint64_t commits = 0;
+    /// The history up to this version is lost: watches from before fail.
+    std::uint64_t compacted_version = 0;
+    /// State that scans return instead of the present one; none when null.
+    std::shared_ptr<fake_store> behind;
 
+    /// Loses the history. While `reads_behind`, scans return the given state.
+    void compact(std::shared_ptr<fake_store> reads_behind = {})
+    {
+        compacted_version = ++version;
+        behind = std::move(reads_behind);
+    }
     store_result commit(const store_commit& operation)
     {
         store_result result;
@@ -180,6 +190,9 @@
     {
         watch_result result;
         result.op = operation.op;
+        result.history_lost = operation.after < compacted_version;
+        if (result.history_lost)
+            return result;
         result.status = store_status::ok;
         result.version = version;
         for (const auto& [key, row] : tables[operation.table])
@@ -282,6 +295,9 @@
         std::set<std::string> wanted_peers; ///< Peers to keep a link to.
         std::set<std::string> connected;
         bool reaches_store = true;
+        /// Watches of the store are not answered; they fail when their time is
+        /// over.
+        bool watches_silent = false;
         bool paused = false; ///< Handles no events and loses none.
         /// Counts starts and kills; events for an earlier generation are lost.
         std::uint64_t generation = 0;
@@ -308,6 +324,9 @@
     std::map<call_id, caller_answer> answers;
     /// Share of a processor by host.
     std::map<std::string, double> processor_shares;
+    std::uint64_t watch_count = 0; ///< Watches of all hosts.
+    /// Called before the store carries out a scan.
+    std::function<void(const store_scan&)> on_scan;
     bool store_down = false;
     bool store_drops_answers = false; ///< Commits take effect without answers.
     milliseconds store_delay = milliseconds(4);
@@ -442,8 +461,12 @@
         slot.connected.clear();
         ++slot.generation;
         for (auto& [other, each] : hosts)
-            if (each.connected.erase(name) > 0 && each.host)
-                each.inbox.emplace_back(peer_state{name, false});
+        {
+            if (each.connected.erase(name) == 0 || !each.host)
+                continue;
+            each.inbox.emplace_back(peer_state{name, false});
+            dial(other, each.generation);
+        }
     }
     /// Returns the phase that the store holds for an ended job, and nothing for
     /// a job without a stored final phase. Reads the whole log.
@@ -875,20 +898,31 @@
     void execute(const std::string& name, simulated_host& slot,
                  const store_scan& operation)
     {
-        send_to_store(name, slot, operation,
-                      [this](const store_scan& each)
-                      { return store.scan(each); });
+        send_to_store(
+            name, slot, operation,
+            [this](const store_scan& each)
+            {
+                if (on_scan)
+                    on_scan(each);
+                return (store.behind ? *store.behind : store).scan(each);
+            });
     }
     void execute(const std::string& name, simulated_host& slot,
                  const store_watch& operation)
     {
         const auto generation = slot.generation;
-        if (!reaches_store(slot))
+        ++watch_count;
+        if (!reaches_store(slot) || slot.watches_silent)
         {
             watch_result result;
             result.op = operation.op;
-            result.status = store_status::unavailable;
-            after(milliseconds(3), [this, name, generation, result]
+            result.status = slot.watches_silent ? store_status::unknown
+                                                : store_status::unavailable;
+            const auto delay = slot.watches_silent
+                                   ? milliseconds(operation.wait_ms) +
+                                         config::cell_store_timeout
+                                   : milliseconds(3);
+            after(delay, [this, name, generation, result]
                   { deliver(name, generation, result); });
             return;
         }
@@ -910,8 +944,23 @@
     }
     void answer_watcher(const watcher& each, bool timed_out)
     {
+        const auto& slot = hosts[each.host];
+        if (!reaches_store(slot) || slot.watches_silent)
+        {
+            if (!timed_out)
+            {
+                watchers_.push_back(each);
+                return;
+            }
+            watch_result lost;
+            lost.op = each.watch.op;
+            after(config::cell_store_timeout, [this, each, lost]
+                  { deliver(each.host, each.generation, lost); });
+            return;
+        }
         auto result = store.changes(each.watch);
-        if (result.rows.empty() && result.removed.empty() && !timed_out)
+        if (result.rows.empty() && result.removed.empty() &&
+            !result.history_lost && !timed_out)
         {
             watchers_.push_back(each);
             return;
