Refuse lists of workers that are older than the one in use

Callers saw, by test: after a lost history, starts on a worker that had left or was draining, as long as reads were behind.

The list of workers was read anew without comparing its version, page by page, after all workers had been unlisted; while the store failed meanwhile no worker took a start.

The rows of all pages are collected and applied at once, as of the oldest page. Workers that are not in it are unlisted then, and new ones are among those that may hold a lease at once.

--- a/src/cell_owner_load.cpp
+++ b/src/cell_owner_load.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 #include "cell_limits_p.hpp"
 
@@ -69,27 +70,67 @@
     {
         if (table == state_table::log)
             loaded_log_rows_.clear();
+        if (table == state_table::workers)
+            scanned_workers_.clear();
         scan_table(table, "");
         return;
     }
-    load_rows(now, table, result.rows);
+    if (table == state_table::workers)
+    {
+        // Each page holds the table as of another moment.
+        scanned_worker_version_ =
+            scanned_workers_.empty()
+                ? result.version
+                : std::min(scanned_worker_version_, result.version);
+        scanned_workers_.insert(scanned_workers_.end(), result.rows.begin(),
+                                result.rows.end());
+    }
+    else
+        load_rows(now, table, result.rows);
     if (result.more && !result.rows.empty())
     {
         scan_table(table, result.rows.back().key);
         return;
     }
-    if (table == state_table::workers)
-    {
-        worker_version_ = result.version;
-        worker_watch_.reset();
-        next_worker_watch_ = now;
-    }
+    if (table == state_table::workers && !finish_worker_scan(now))
+        return;
     loaded_tables_.insert(table);
     if (!loaded_ &&
         loaded_tables_.size() == static_cast<std::size_t>(state_table::count))
         finish_load(now);
 }
 
+bool cell_owner::finish_worker_scan(time_point now)
+{
+    const auto rows = std::exchange(scanned_workers_, {});
+    if (scanned_worker_version_ < worker_version_)
+    {
+        context_.log(log_code::cell_config_read_behind,
+                     fmt::format("table={} table_version={} known={}",
+                                 context_.external_rows.worker_table(),
+                                 scanned_worker_version_, worker_version_));
+        reread_workers_ = true;
+        next_worker_watch_ = now + config::cell_store_retry_delay;
+        return false;
+    }
+    std::set<std::string> listed;
+    for (const auto& row : rows)
+        listed.insert(row.key);
+    std::vector<std::string> unlisted;
+    for (const auto& [id, worker] : workers_.all())
+        if (listed.count(id) == 0)
+            unlisted.push_back(id);
+    for (const auto& id : unlisted)
+        on_worker_unlisted(now, id);
+    load_rows(now, state_table::workers, rows);
+    if (loaded_)
+        write_leased_workers();
+    worker_version_ = scanned_worker_version_;
+    worker_watch_.reset();
+    next_worker_watch_ = now;
+    return true;
+}
+
 void cell_owner::load_rows(time_point now, state_table table,
                            const std::vector<carobcourse::row>& rows)
 {
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -262,6 +262,9 @@
     void scan_table(state_table table, std::string after);
     void on_scan_result(time_point now, state_table table,
                         const store_result& result);
+    /// Applies a complete scan of the list of workers. Returns false, and
+    /// scans it again later, when it is older than the list in use.
+    bool finish_worker_scan(time_point now);
     void load_rows(time_point now, state_table table,
                    const std::vector<carobcourse::row>& rows);
     void load_row(time_point now, state_table table,
@@ -460,6 +463,9 @@
     std::optional<op_id> worker_watch_;
     std::uint64_t worker_version_ = 0;
     bool reread_workers_ = false;
+    /// Rows of the scan in progress, and the version of its oldest page.
+    std::vector<carobcourse::row> scanned_workers_;
+    std::uint64_t scanned_worker_version_ = 0;
     time_point next_worker_watch_;
     /// Workers that may hold a lease, as last written to the store.
     std::set<std::string> leased_workers_;
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -44,8 +44,6 @@
     {
         reread_workers_ = false;
         next_worker_watch_ = time_point::max();
-        for (auto& [id, worker] : workers_.all())
-            worker.listed = false;
         scan_table(state_table::workers, "");
         return;
     }
--- a/tests/test_cell_config.cpp
+++ b/tests/test_cell_config.cpp
@@ -197,6 +197,29 @@
     CHECK(cell.has_logged(log_code::cell_config_read_behind));
 }
 
+TEST_CASE("A read that is behind does not bring a worker back that has left")
+{
+    // Guards against starts on a worker that is no longer listed, or that
+    // drains, after the history of the store was lost.
+    config_cell cell;
+    const auto before = std::make_shared<fake_store>(cell.store);
+    cell.store.put(worker_rows_table, "w1", std::nullopt);
+    cell.store.put(
+        worker_rows_table, "w3",
+        nlohmann::json{
+            {"dc", "dc1"}, {"cpu", 8000}, {"mem", 16000}, {"draining", true}}
+            .dump());
+    cell.run(milliseconds(500));
+    cell.store.compact(before);
+    cell.run(milliseconds(1500));
+    for (unsigned job = 1; job <= 20; ++job)
+        cell.submit(cell.owner(), job, cell.make_work(1, 1000));
+    cell.run(milliseconds(300));
+    CHECK(cell.workers["w1"].runs.empty());
+    CHECK(cell.workers["w3"].runs.empty());
+    CHECK_FALSE(cell.workers["w0"].runs.empty());
+}
+
 TEST_CASE("A change between two pages of the operator's table is not missed")
 {
     // Guards against a route that is not served until the next change.
