--- a/tests/test_shell_http_client.cpp
+++ b/tests/test_shell_http_client.cpp
@@ -215,6 +215,7 @@
     http_client client(http_client_limits{64, connections, connections});
     server.hold_until(connections);
     std::vector<std::future<http_response>> first;
+    first.reserve(connections);
     for (int i = 0; i < connections; ++i)
         first.push_back(
             begin_post(client, server.url(), std::chrono::seconds(5)));
