Take keys only where this host itself has reached the store

Cause: a host that the store turned away stayed ready and took keyed calls by the evidence of the owner.

The evidence of the owner still keeps the configuration up to date, bounds refusals for good, and serves open queues.

--- a/src/cell_config_watcher.cpp
+++ b/src/cell_config_watcher.cpp
@@ -90,7 +90,7 @@
         return true;
     }
     watching_ = true;
-    set_confirmed(request_sent_at_, "store");
+    set_confirmed_by_store();
     return true;
 }
 
@@ -164,7 +164,7 @@
         evacuated.erase(context_.external_rows.evacuated_data_centre(key));
     set_evacuated(std::move(evacuated));
     version_ = std::max(version_, result.version);
-    set_confirmed(request_sent_at_, "store");
+    set_confirmed_by_store();
     return true;
 }
 
@@ -192,6 +192,12 @@
     owner_evidence_at_ = std::max(owner_evidence_at_, as_of);
 }
 
+void cell_config_watcher::set_confirmed_by_store()
+{
+    store_confirmed_at_ = std::max(store_confirmed_at_, request_sent_at_);
+    set_confirmed(request_sent_at_, "store");
+}
+
 void cell_config_watcher::set_confirmed(time_point as_of, const char* by)
 {
     if (as_of <= confirmed_at_)
--- a/src/cell_config_watcher_p.hpp
+++ b/src/cell_config_watcher_p.hpp
@@ -20,9 +20,8 @@
 ///
 /// The configuration is confirmed as of the latest time at which it is known to
 /// have been the newest one. That time is the start of a request to the store,
-/// or comes from the owner of the cell, so that a host that the store turns
-/// away can still answer. A version that another host has shown is a floor:
-/// nothing older is confirmed.
+/// or comes from the owner of the cell. A version that another host has shown
+/// is a floor: nothing older is confirmed.
 class cell_config_watcher
 {
 public:
@@ -60,6 +59,13 @@
         return context_.config && !is_superseded() &&
                now <= confirmed_at_ + max_age;
     }
+    /// As `is_confirmed`, by a request of this host to the store. Keys need
+    /// this: callers are better served by a host that reaches the store.
+    bool is_confirmed_by_store(time_point now, duration max_age) const
+    {
+        return context_.config && !is_superseded() &&
+               now <= store_confirmed_at_ + max_age;
+    }
     time_point confirmed_at() const
     {
         return confirmed_at_;
@@ -106,6 +112,8 @@
     void apply(const decoded_row& row);
     void set_evacuated(std::set<std::string> data_centres);
     void set_confirmed(time_point as_of, const char* by);
+    /// The request that was sent last has returned the present state.
+    void set_confirmed_by_store();
 
     cell_context& context_;
     std::optional<op_id> pending_op_;
@@ -113,6 +121,7 @@
     time_point next_request_at_;
     time_point confirmed_at_;
     const char* confirmed_by_ = "nobody";
+    time_point store_confirmed_at_;
     time_point owner_evidence_at_;
     /// When the table is read again although it is watched.
     std::optional<time_point> rescan_at_;
--- a/src/cell_frontend.cpp
+++ b/src/cell_frontend.cpp
@@ -177,7 +177,7 @@
         return;
     }
     if (!queue->allows_anonymous &&
-        !config_.is_confirmed(now, config::cell_max_config_age))
+        !config_.is_confirmed_by_store(now, config::cell_max_config_age))
     {
         refuse_locally(now, request, result_code::configuration_stale);
         return;
--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -704,10 +704,10 @@
         owner_ ? owner_->is_loaded()
                : election_.has_owner_heartbeat(now) &&
                      connected_hosts_.count(election_.owner()) > 0;
-    const bool ready =
-        !stopping_ &&
-        config_watcher_.is_confirmed(now, config::cell_max_config_age) &&
-        is_owner_reachable;
+    const bool ready = !stopping_ &&
+                       config_watcher_.is_confirmed_by_store(
+                           now, config::cell_max_config_age) &&
+                       is_owner_reachable;
     if (readiness_reported_ && ready == ready_)
         return;
     ready_ = ready;
