Confirm nothing by a watch that is behind or a row that is unreadable

- An answer to a watch with an older version than the applied one confirmed the copy, and an added route was refused with 404.
It is reported and repeated, for the operator's table and for the workers.
- After a row that can not be read, the version before it was confirmed still, and 404 was answered by it.
That version stays in force, but nothing is refused for good by it.
- A negative version in an announcement was converted to a very large one; the host then held every call.
It is read like the other versions now, under the same field.
- A host was not ready while it waited for a newer version, so that it left the balancer at a change.
Readiness asks for the store only.
- A host that is behind asked the owner for its row every 100 ms, all hosts at once while the store is slow.
It repeats after 500 ms.
- A held call was refused only after those before it, even when its own deadline was nearer.

The pages of a scan and the check of its version stood twice, at the configuration and at the workers: table_scan and cell_context::report_read_behind serve both.

--- a/src/cell_config_watcher.cpp
+++ b/src/cell_config_watcher.cpp
@@ -21,16 +21,18 @@
 /// itself. Covers the owner's own evidence and two heartbeats.
 constexpr auto max_owner_evidence_age = std::chrono::milliseconds(1500);
 /// Time for which the store may deliver a version that another host has shown
-/// before that host is asked for it. Most versions reach the hosts within 40 ms
-/// of each other.
+/// before that host is asked for it.
 constexpr auto row_request_delay = std::chrono::milliseconds(100);
+/// Time until that host is asked again. All hosts may ask the owner at once
+/// while the store is slow.
+constexpr auto row_request_repeat_delay = std::chrono::milliseconds(500);
 
 } // namespace
 
-void cell_config_watcher::scan(std::string after)
+void cell_config_watcher::request_page(std::string after)
 {
     if (after.empty())
-        scanned_rows_.clear();
+        scan_.clear();
     pending_op_ = context_.request_scan(context_.external_rows.operator_table(),
                                         std::move(after));
 }
@@ -44,7 +46,7 @@
     {
         rescan_at_.reset();
         watching_ = false;
-        scan("");
+        request_page("");
         return;
     }
     // The age of what a watch confirms reaches twice its wait.
@@ -66,27 +68,14 @@
         next_request_at_ = now + config::cell_store_retry_delay;
         return true;
     }
-    // Each page holds the table as of another moment. A watch from the oldest
-    // one on repeats what later pages have had, and misses nothing.
-    scanned_version_ = scanned_rows_.empty()
-                           ? result.version
-                           : std::min(scanned_version_, result.version);
-    for (const auto& row : result.rows)
-        scanned_rows_[row.key] = row.value;
-    if (result.more && !result.rows.empty())
+    if (scan_.add(result))
     {
-        scan(result.rows.back().key);
+        request_page(scan_.rows().back().key);
         return true;
     }
     if (!apply_scan())
     {
-        context_.counters.count("carobcourse_config_reads_behind_total");
-        context_.log(log_code::cell_config_read_behind,
-                     fmt::format("table_version={} known={} config={} "
-                                 "config_known={}",
-                                 scanned_version_, version_, version(),
-                                 known_version_));
-        next_request_at_ = now + config::cell_store_retry_delay;
+        report_read_behind(now, scan_.version());
         return true;
     }
     watching_ = true;
@@ -96,19 +85,18 @@
 
 bool cell_config_watcher::apply_scan()
 {
-    const auto rows = std::exchange(scanned_rows_, {});
-    if (scanned_version_ < version_)
+    if (scan_.version() < version_)
         return false;
     std::set<std::string> evacuated;
     std::vector<decoded_row> configs;
-    for (const auto& [key, value] : rows)
+    for (const auto& row : scan_.rows())
     {
         const auto data_centre =
-            context_.external_rows.evacuated_data_centre(key);
+            context_.external_rows.evacuated_data_centre(row.key);
         if (!data_centre.empty())
             evacuated.insert(data_centre);
-        else if (auto config = decode(key, value))
-            configs.push_back({key, value, std::move(config)});
+        else if (auto config = decode(row.key, row.value))
+            configs.push_back({row.key, row.value, std::move(config)});
     }
     for (const auto& row : configs)
         if (row.config->version() < version())
@@ -116,7 +104,8 @@
     for (const auto& row : configs)
         apply(row);
     set_evacuated(std::move(evacuated));
-    version_ = scanned_version_;
+    version_ = scan_.version();
+    scan_.clear();
     return true;
 }
 
@@ -150,6 +139,11 @@
         context_.log(log_code::store_up,
                      "watch of the operator table succeeds again");
     watch_failing_ = false;
+    if (result.version < version_)
+    {
+        report_read_behind(now, result.version);
+        return true;
+    }
     auto evacuated = context_.evacuated_data_centres;
     for (const auto& row : result.rows)
     {
@@ -163,11 +157,19 @@
     for (const auto& key : result.removed)
         evacuated.erase(context_.external_rows.evacuated_data_centre(key));
     set_evacuated(std::move(evacuated));
-    version_ = std::max(version_, result.version);
+    version_ = result.version;
     set_confirmed_by_store();
     return true;
 }
 
+void cell_config_watcher::report_read_behind(time_point now,
+                                             std::uint64_t read_version)
+{
+    context_.report_read_behind(context_.external_rows.operator_table(),
+                                read_version, version_);
+    next_request_at_ = now + config::cell_store_retry_delay;
+}
+
 void cell_config_watcher::on_version_heard(time_point now,
                                            const std::string& from,
                                            std::uint64_t version)
@@ -194,8 +196,11 @@
 
 void cell_config_watcher::set_confirmed_by_store()
 {
-    store_confirmed_at_ = std::max(store_confirmed_at_, request_sent_at_);
-    set_confirmed(request_sent_at_, "store");
+    store_read_at_ = std::max(store_read_at_, request_sent_at_);
+    // The version before an unreadable one stays in force, but nothing is
+    // refused for good by it.
+    if (!is_newest_unreadable_)
+        set_confirmed(request_sent_at_, "store");
 }
 
 void cell_config_watcher::set_confirmed(time_point as_of, const char* by)
@@ -217,7 +222,7 @@
 {
     if (!is_superseded() || now < next_row_request_at_)
         return std::nullopt;
-    next_row_request_at_ = now + row_request_delay;
+    next_row_request_at_ = now + row_request_repeat_delay;
     return newer_host_;
 }
 
@@ -226,7 +231,12 @@
 {
     auto config = context_.external_rows.read_config(key, value);
     if (config)
+    {
+        if (*config)
+            is_newest_unreadable_ = false;
         return std::move(*config);
+    }
+    is_newest_unreadable_ = true;
     context_.counters.count("carobcourse_config_unreadable_total");
     context_.log(log_code::cell_row_unreadable,
                  fmt::format("row={} config={} {}", key, version(),
--- a/src/cell_config_watcher_p.hpp
+++ b/src/cell_config_watcher_p.hpp
@@ -3,13 +3,13 @@
 #pragma once
 
 #include <carobcourse/types.hpp>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <utility>
 
 #include "cell_context_p.hpp"
+#include "cell_table_scan_p.hpp"
 
 namespace carobcourse
 {
@@ -59,12 +59,12 @@
         return context_.config && !is_superseded() &&
                now <= confirmed_at_ + max_age;
     }
-    /// As `is_confirmed`, by a request of this host to the store. Keys need
-    /// this: callers are better served by a host that reaches the store.
-    bool is_confirmed_by_store(time_point now, duration max_age) const
+    /// Whether this host itself has followed the store until a time that is at
+    /// most `max_age` ago. Keys need this: callers are better served by a host
+    /// that reaches the store.
+    bool has_followed_store(time_point now, duration max_age) const
     {
-        return context_.config && !is_superseded() &&
-               now <= store_confirmed_at_ + max_age;
+        return context_.config && now <= store_read_at_ + max_age;
     }
     time_point confirmed_at() const
     {
@@ -101,10 +101,13 @@
 
     /// Requests the page behind the key `after`; an empty key restarts the
     /// scan.
-    void scan(std::string after);
+    void request_page(std::string after);
     /// Applies the rows of a complete scan. Returns false, and applies none,
     /// when they are older than what this host knows.
     bool apply_scan();
+    /// Reports an answer of the store that is older than what this host knows,
+    /// and delays the next request.
+    void report_read_behind(time_point now, std::uint64_t read_version);
     /// Returns null when the row is no configuration or can not be decoded. In
     /// the second case the table is read again later.
     cell_config_ptr decode(const std::string& key, const std::string& value);
@@ -112,7 +115,8 @@
     void apply(const decoded_row& row);
     void set_evacuated(std::set<std::string> data_centres);
     void set_confirmed(time_point as_of, const char* by);
-    /// The request that was sent last has returned the present state.
+    /// Takes note that the request that was sent last has returned the state of
+    /// the table at that time or later.
     void set_confirmed_by_store();
 
     cell_context& context_;
@@ -121,7 +125,7 @@
     time_point next_request_at_;
     time_point confirmed_at_;
     const char* confirmed_by_ = "nobody";
-    time_point store_confirmed_at_;
+    time_point store_read_at_;
     time_point owner_evidence_at_;
     /// When the table is read again although it is watched.
     std::optional<time_point> rescan_at_;
@@ -133,10 +137,9 @@
     std::string newer_host_;          ///< Has shown `known_version_`.
     time_point next_row_request_at_;
     std::pair<std::string, std::string> row_;
-    /// Rows that the scan in progress has read so far, by key.
-    std::map<std::string, std::string> scanned_rows_;
-    /// Version of the table that the oldest page of the scan holds.
-    std::uint64_t scanned_version_ = 0;
+    table_scan scan_;
+    /// The newest row of the configuration that was read can not be decoded.
+    bool is_newest_unreadable_ = false;
 };
 
 } // namespace carobcourse
--- a/src/cell_context_p.hpp
+++ b/src/cell_context_p.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <fmt/format.h>
 #include <random>
 #include <set>
 #include <string>
@@ -96,6 +97,16 @@
         effects.emplace_back(watch);
         return watch.op;
     }
+    /// Reports a read of `table` that is older than what this host knows.
+    void report_read_behind(const std::string& table,
+                            std::uint64_t read_version,
+                            std::uint64_t known_version)
+    {
+        counters.count("carobcourse_reads_behind_total", table);
+        log(log_code::cell_read_behind,
+            fmt::format("table={} version={} known={}", table, read_version,
+                        known_version));
+    }
     void log(log_code code, std::string detail)
     {
         effects.emplace_back(log_record{code, std::move(detail)});
--- a/src/cell_frontend.cpp
+++ b/src/cell_frontend.cpp
@@ -177,7 +177,7 @@
         return;
     }
     if (!queue->allows_anonymous &&
-        !config_.is_confirmed_by_store(now, config::cell_max_config_age))
+        !config_.has_followed_store(now, config::cell_max_config_age))
     {
         refuse_locally(now, request, result_code::configuration_stale);
         return;
@@ -280,11 +280,12 @@
 
 void cell_frontend::tick(time_point now, const sender& send_to_owner)
 {
-    while (!held_calls_.empty() && now >= held_calls_.front().deadline)
+    for (auto& held : std::exchange(held_calls_, {}))
     {
-        refuse_locally(now, held_calls_.front().request,
-                       result_code::configuration_stale);
-        held_calls_.erase(held_calls_.begin());
+        if (now < held.deadline)
+            held_calls_.push_back(std::move(held));
+        else
+            refuse_locally(now, held.request, result_code::configuration_stale);
     }
     std::vector<std::pair<call_id, result_code>> failed_calls;
     for (auto& [id, call] : calls_)
--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -424,8 +424,10 @@
     else if (kind == "answer")
         frontend_.on_answer(now, from, item);
     else if (kind == "config_version")
-        config_watcher_.on_version_heard(now, from,
-                                         item.at("v").get<std::uint64_t>());
+    {
+        if (const auto version = find_version(item))
+            config_watcher_.on_version_heard(now, from, *version);
+    }
     else if (kind == "config_request")
     {
         const auto& [key, value] = config_watcher_.row();
@@ -481,7 +483,7 @@
         for (const auto& [host, member] : members_)
             if (member.connected)
                 post(host,
-                     {{"k", "config_version"}, {"v", announced_version_}});
+                     {{"k", "config_version"}, {"cv", announced_version_}});
     }
     release_held_items(now);
     frontend_.release_held(now, make_owner_sender(now));
@@ -704,10 +706,10 @@
         owner_ ? owner_->is_loaded()
                : election_.has_owner_heartbeat(now) &&
                      connected_hosts_.count(election_.owner()) > 0;
-    const bool ready = !stopping_ &&
-                       config_watcher_.is_confirmed_by_store(
-                           now, config::cell_max_config_age) &&
-                       is_owner_reachable;
+    const bool ready =
+        !stopping_ &&
+        config_watcher_.has_followed_store(now, config::cell_max_config_age) &&
+        is_owner_reachable;
     if (readiness_reported_ && ready == ready_)
         return;
     ready_ = ready;
--- a/src/cell_owner_load.cpp
+++ b/src/cell_owner_load.cpp
@@ -71,20 +71,12 @@
         if (table == state_table::log)
             loaded_log_rows_.clear();
         if (table == state_table::workers)
-            scanned_workers_.clear();
+            worker_scan_.clear();
         scan_table(table, "");
         return;
     }
     if (table == state_table::workers)
-    {
-        // Each page holds the table as of another moment.
-        scanned_worker_version_ =
-            scanned_workers_.empty()
-                ? result.version
-                : std::min(scanned_worker_version_, result.version);
-        scanned_workers_.insert(scanned_workers_.end(), result.rows.begin(),
-                                result.rows.end());
-    }
+        worker_scan_.add(result);
     else
         load_rows(now, table, result.rows);
     if (result.more && !result.rows.empty())
@@ -102,19 +94,17 @@
 
 bool cell_owner::finish_worker_scan(time_point now)
 {
-    const auto rows = std::exchange(scanned_workers_, {});
-    if (scanned_worker_version_ < worker_version_)
+    const auto scan = std::exchange(worker_scan_, {});
+    if (scan.version() < worker_version_)
     {
-        context_.log(log_code::cell_config_read_behind,
-                     fmt::format("table={} table_version={} known={}",
-                                 context_.external_rows.worker_table(),
-                                 scanned_worker_version_, worker_version_));
+        context_.report_read_behind(context_.external_rows.worker_table(),
+                                    scan.version(), worker_version_);
         reread_workers_ = true;
         next_worker_watch_ = now + config::cell_store_retry_delay;
         return false;
     }
     std::set<std::string> listed;
-    for (const auto& row : rows)
+    for (const auto& row : scan.rows())
         listed.insert(row.key);
     std::vector<std::string> unlisted;
     for (const auto& [id, worker] : workers_.all())
@@ -122,10 +112,10 @@
             unlisted.push_back(id);
     for (const auto& id : unlisted)
         on_worker_unlisted(now, id);
-    load_rows(now, state_table::workers, rows);
+    load_rows(now, state_table::workers, scan.rows());
     if (loaded_)
         write_leased_workers();
-    worker_version_ = scanned_worker_version_;
+    worker_version_ = scan.version();
     worker_watch_.reset();
     next_worker_watch_ = now;
     return true;
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -21,6 +21,7 @@
 #include "cell_order_p.hpp"
 #include "cell_placement_p.hpp"
 #include "cell_reservations_p.hpp"
+#include "cell_table_scan_p.hpp"
 #include "cell_turns_p.hpp"
 #include "cell_workers_p.hpp"
 
@@ -463,9 +464,7 @@
     std::optional<op_id> worker_watch_;
     std::uint64_t worker_version_ = 0;
     bool reread_workers_ = false;
-    /// Rows of the scan in progress, and the version of its oldest page.
-    std::vector<carobcourse::row> scanned_workers_;
-    std::uint64_t scanned_worker_version_ = 0;
+    table_scan worker_scan_;
     time_point next_worker_watch_;
     /// Workers that may hold a lease, as last written to the store.
     std::set<std::string> leased_workers_;
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -65,7 +65,13 @@
     }
     if (result.status != store_status::ok)
         return true;
-    worker_version_ = std::max(worker_version_, result.version);
+    if (result.version < worker_version_)
+    {
+        context_.report_read_behind(context_.external_rows.worker_table(),
+                                    result.version, worker_version_);
+        return true;
+    }
+    worker_version_ = result.version;
     for (const auto& row : result.rows)
         apply_worker_row(now, row.key, row.value);
     for (const auto& id : result.removed)
--- a/src/log_event_p.hpp
+++ b/src/log_event_p.hpp
@@ -91,8 +91,8 @@
       "the count of waiting jobs is too old and is refused")                   \
     X(cell_config_superseded, 2726, info,                                      \
       "another host has shown a newer configuration")                          \
-    X(cell_config_read_behind, 2727, warning,                                  \
-      "a read of the operator's rows is older than what is known")             \
+    X(cell_read_behind, 2727, warning,                                         \
+      "a read of a table is older than what is known")                         \
     X(cell_task_started, 2731, info, "a task is ordered to start")             \
     X(cell_task_ended, 2732, info, "a run of a task has ended")                \
     X(cell_task_lost, 2733, warning, "a run of a task is gone without an end") \
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -110,6 +110,7 @@
     std::uint64_t compacted_version = 0;
     /// State that scans return instead of the present one; none when null.
     std::shared_ptr<fake_store> behind;
+    bool watches_behind = false; ///< Watches return the state `behind` too.
 
     /// Loses the history. While `reads_behind`, scans return the given state.
     void compact(std::shared_ptr<fake_store> reads_behind = {})
@@ -302,6 +303,7 @@
         /// Counts starts and kills; events for an earlier generation are lost.
         std::uint64_t generation = 0;
         bool ready = false;
+        unsigned readiness_changes = 0;
         bool stopped = false;
         std::int64_t clock_error_ms = 0; ///< Error of the time of day.
         time_point busy_until;           ///< Handles its last batch until then.
@@ -958,7 +960,8 @@
                   { deliver(each.host, each.generation, lost); });
             return;
         }
-        auto result = store.changes(each.watch);
+        auto result =
+            (store.watches_behind ? *store.behind : store).changes(each.watch);
         if (result.rows.empty() && result.removed.empty() &&
             !result.history_lost && !timed_out)
         {
@@ -1276,6 +1279,7 @@
                  const readiness& state)
     {
         slot.ready = state.ready;
+        ++slot.readiness_changes;
     }
     void execute(const std::string&, simulated_host& slot, const stop_complete&)
     {
--- a/tests/test_cell_config.cpp
+++ b/tests/test_cell_config.cpp
@@ -40,6 +40,12 @@
                 cut_links.erase({name, other});
         }
     }
+    /// From now on the watches of the host time out; those under way too.
+    void silence_watches(const std::string& name)
+    {
+        hosts[name].watches_silent = true;
+        run(milliseconds(1200));
+    }
     /// Default queues and one more.
     static std::vector<queue_config> queues_with(const std::string& name)
     {
@@ -133,8 +139,7 @@
     // through a host that then refuses its routes.
     config_cell cell;
     const auto host = cell.other_host();
-    cell.hosts[host].watches_silent = true;
-    cell.run(milliseconds(1200));
+    cell.silence_watches(host);
     cell.add_queue("added");
     REQUIRE(cell.run_until(milliseconds(500),
                            [&]
@@ -155,8 +160,7 @@
     // whose own watch has failed.
     config_cell cell;
     const auto owner = cell.owner();
-    cell.hosts[owner].watches_silent = true;
-    cell.run(milliseconds(1200));
+    cell.silence_watches(owner);
     cell.add_queue("added");
     cell.run(milliseconds(50));
     CHECK(cell.submit_and_wait(cell.other_host(), 1, "added") ==
@@ -200,7 +204,7 @@
         const bool is_out = id == "w0" || id == "w2";
         CHECK(worker.runs.empty() == is_out);
     }
-    CHECK(cell.has_logged(log_code::cell_config_read_behind));
+    CHECK(cell.has_logged(log_code::cell_read_behind));
 }
 
 TEST_CASE("A read that is behind does not bring a worker back that has left")
@@ -289,10 +293,63 @@
     CHECK(cell.submit_and_wait(host, 1, "batch") == result_code::ok);
     CHECK(cell.hosts[host].host->counters().counter(
               "carobcourse_config_unreadable_total") > 0);
+    // The store holds a newer version, which may have the queue.
+    cell.run(milliseconds(2000));
+    CHECK(cell.submit_and_wait(host, 3, "none") ==
+          result_code::configuration_stale);
     cell.store.tables[operator_rows_table]["config"].value =
         std::to_string(cell.rows.configs.size() - 1);
     cell.run(milliseconds(4500));
     CHECK(cell.submit_and_wait(host, 2, "added") == result_code::ok);
+    CHECK(cell.submit_and_wait(host, 4, "none") == result_code::not_found);
+}
+
+TEST_CASE("An answer to a watch that is behind confirms nothing")
+{
+    // Guards against 404 for a route that was added while watches were answered
+    // from an older state.
+    config_cell cell;
+    cell.store.behind = std::make_shared<fake_store>(cell.store);
+    cell.store.put(operator_rows_table, "out/none", "");
+    cell.run(milliseconds(500));
+    cell.store.watches_behind = true;
+    cell.run(milliseconds(1200));
+    cell.add_queue("added");
+    cell.run(change_bound);
+    for (const auto& [name, slot] : cell.hosts)
+        CHECK(cell.submit_and_wait(name, 1, "added") ==
+              result_code::configuration_stale);
+    CHECK(cell.has_logged(log_code::cell_read_behind));
+}
+
+TEST_CASE("A version that is no number does not stop a host")
+{
+    // Guards against a malformed message after which a host waits for a version
+    // that does not exist, and serves nothing.
+    config_cell cell;
+    const auto host = cell.other_host();
+    const nlohmann::json items = {
+        {{"k", "config_version"}, {"v", -1}, {"cv", -1}}};
+    std::string payload;
+    nlohmann::json::to_cbor(items, payload);
+    cell.hosts[host].inbox.emplace_back(
+        peer_received{cell.owner(), "cell", {}, payload});
+    cell.run(milliseconds(50));
+    CHECK(cell.submit_and_wait(host, 1, "batch") == result_code::ok);
+}
+
+TEST_CASE("A host stays ready while it waits for a newer configuration")
+{
+    // Guards against hosts that leave the balancer at each change.
+    config_cell cell;
+    const auto host = cell.other_host();
+    cell.silence_watches(host);
+    REQUIRE(cell.hosts[host].ready);
+    const auto before = cell.hosts[host].readiness_changes;
+    cell.add_queue("added");
+    cell.run(milliseconds(500));
+    CHECK(cell.has_logged(log_code::cell_config_superseded));
+    CHECK(cell.hosts[host].readiness_changes == before);
 }
 
 namespace
