Take up tasks of an earlier owner only while the ownership is confirmed

An owner that is cut off from the store waited for the leases of an earlier owner to end and then took the tasks without a reported run as waiting, though a later owner had heard of their ends and acknowledged them. The test showed 'start of a task that is done' before the change.

Such an owner can only wait: it can not know what a later one has heard.

--- a/src/cell_owner_runs.cpp
+++ b/src/cell_owner_runs.cpp
@@ -322,7 +322,8 @@
 /// owners has either reported all its runs and ends or can have no valid lease.
 void cell_owner::release_unresolved_tasks(time_point now)
 {
-    if (!has_unresolved_tasks_)
+    // A later owner may have heard of their ends.
+    if (!has_unresolved_tasks_ || !is_ownership_confirmed(now))
         return;
     if (!unresolved_workers_.empty())
     {
--- a/tests/test_cell_recovery.cpp
+++ b/tests/test_cell_recovery.cpp
@@ -689,3 +689,65 @@
     CHECK(cell.first_violation() == "none");
     CHECK(cell.check_accepted_jobs_ended(calls) > 20);
 }
+
+TEST_CASE("An owner that is cut off does not take up tasks of an earlier owner")
+{
+    // Guards against a second run by an owner that waited for the leases of an
+    // earlier owner while a later one heard of the end and acknowledged it.
+    recovery_test_cell cell(3, 3);
+    const auto first = cell.owner();
+    cell.plan = [](const cell_task_id&, std::uint32_t) {
+        return fake_run{time_point(milliseconds(1500)), end_kind::done, {}};
+    };
+    std::map<std::string, int> side{{first, 1}, {"w0", 1}};
+    const auto cut = [&]
+    {
+        cell.cut_links.clear();
+        for (const auto& [name, slot] : cell.hosts)
+            for (const auto& [other, each] : cell.hosts)
+                if (side[name] != side[other])
+                    cell.cut_links.insert({name, other});
+        cell.partition_of = [&side](const std::string& name)
+        { return side[name]; };
+    };
+    const auto owner_other_than = [&](const std::set<std::string>& names)
+    {
+        std::string found;
+        cell.run_until(milliseconds(4000),
+                       [&]
+                       {
+                           for (const auto& [name, slot] : cell.hosts)
+                               if (names.count(name) == 0 &&
+                                   slot.host->is_owner() &&
+                                   slot.host->owner()->is_loaded())
+                                   found = name;
+                           return !found.empty();
+                       });
+        return found;
+    };
+    for (unsigned job = 1; job <= 12; ++job)
+        cell.submit(first, job, cell.make_work(1, 2000, 1500));
+    cell.run(milliseconds(300));
+    REQUIRE_FALSE(cell.workers["w0"].runs.empty());
+    // The first owner and a worker with runs are cut off.
+    cell.hosts[first].reaches_store = false;
+    cut();
+    const auto second = owner_other_than({first});
+    REQUIRE_FALSE(second.empty());
+    cell.run(milliseconds(1000));
+    // Then the second owner is cut off with another worker, and the others
+    // reach the first worker again.
+    cell.hosts[first].reaches_store = true;
+    cell.hosts[second].reaches_store = false;
+    side = {{second, 1}, {"w1", 1}};
+    cut();
+    REQUIRE_FALSE(owner_other_than({second}).empty());
+    cell.run(milliseconds(9000));
+    cell.hosts[second].reaches_store = true;
+    side.clear();
+    cut();
+    cell.run(milliseconds(4000));
+    CHECK(cell.first_violation() == "none");
+    for (unsigned job = 1; job <= 12; ++job)
+        CHECK(cell.phase(job) == "completed");
+}
