Keep the clocks of two incarnations of a worker apart

Answers to starts carry the worker's clock, but only polls tell the incarnation. With a clock behind, the new incarnation gives a lease of full length for a deadline on the earlier clock, and the owner takes it as over too early when the worker is cut off; this is the form of the users' record.

A reading counts only where it can be one of the known incarnation. After another one no start is sent before a poll, and leases of calls that an unknown incarnation may have taken count from the call on, for the longest lease of the platform (hold_max_ms of the settings, 6 or 10 s). The fake worker tells its incarnation in polls only, as the platform does.

--- a/src/cell_context_p.hpp
+++ b/src/cell_context_p.hpp
@@ -30,6 +30,8 @@
     /// Longest time from a stop request until the process reports that it has
     /// stopped, even if calls are still pending.
     duration max_stop_time = std::chrono::seconds(5);
+    /// Longest lease that a worker gives, whatever it is asked for.
+    duration max_worker_lease = config::cell_default_max_worker_lease;
 };
 
 /// Identity, configuration, counters and pending effects of one entry host.
--- a/src/cell_limits_p.hpp
+++ b/src/cell_limits_p.hpp
@@ -124,8 +124,11 @@
 /// Number of ends that a worker lists in one answer. It lists further ones when
 /// these are acknowledged.
 constexpr std::size_t cell_max_listed_ends = 500;
-/// Longest lease that a worker accepts.
+/// Longest lease that the owner asks a worker for. Workers accept it.
 constexpr auto cell_max_worker_lease = 6000ms;
+/// Longest lease that any worker gives where the settings do not say. Longer
+/// than `cell_max_worker_lease`, which this project asks for.
+constexpr auto cell_default_max_worker_lease = 10000ms;
 /// Maximum error of the rate of a worker's clock, in percent.
 constexpr int cell_max_clock_drift_percent = 2;
 /// A lease granted by an earlier owner has certainly ended after this time. The
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -181,7 +181,7 @@
     {
         const auto& report = worker.report();
         if (!worker.has_reported || !worker.reachable || !worker.listed ||
-            report.draining || now < worker.avoid_until ||
+            worker.is_restart_suspected() || report.draining || now < worker.avoid_until ||
             worker.has_run_of_unknown_amount() ||
             context_.evacuated_data_centres.count(report.data_centre) > 0)
             continue;
@@ -350,6 +350,7 @@
     call.checkpoint = run.start_checkpoint;
     call.ticket = ticket;
     call.lease_until_ms = until;
+    worker.record_call_in_doubt(now, longest_unknown_lease());
     pending_call pending;
     pending.key = key;
     pending.ticket = ticket;
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -326,6 +326,13 @@
     void fail_calls(time_point now, const std::vector<std::uint64_t>& ids);
     /// Returns the host that makes the given attempt of a call to `worker`.
     std::string relay_for(const cell_worker& worker, unsigned attempt) const;
+    /// Takes the reading of the worker's clock, unless another incarnation than
+    /// the known one has given it.
+    void read_clock(time_point now, cell_worker& worker,
+                    const pending_call& pending, const worker_answer& answer);
+    /// Returns how long after a call was sent an incarnation that no poll has
+    /// shown may run tasks under the lease that it gave for the call.
+    duration longest_unknown_lease() const;
     /// Returns the longest lease that may be granted now; zero when none may
     /// be.
     duration remaining_lease(time_point now) const;
--- a/src/cell_owner_runs.cpp
+++ b/src/cell_owner_runs.cpp
@@ -438,6 +438,8 @@
     // accepted.
     if (is_unknown || pending.attempt > 0)
     {
+        if (is_unknown)
+            worker.doubt_incarnation(now, longest_unknown_lease());
         // A report that the worker makes after `start_deadline_ms`, when it
         // accepts the start no longer, shows whether the run exists.
         run->state = run_state::unconfirmed;
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -198,9 +198,7 @@
     if (!worker)
         return;
     workers_to_update_.insert(pending.worker);
-    if (answer.clock_ms >= 0 &&
-        answer.status != command_status::other_incarnation)
-        worker->update_clock(now, answer.clock_ms);
+    read_clock(now, *worker, pending, answer);
     switch (pending.command)
     {
     case worker_command::poll:
@@ -218,6 +216,38 @@
     }
 }
 
+/// Only an answer that lists runs tells the incarnation that gives it.
+void cell_owner::read_clock(time_point now, cell_worker& worker,
+                            const pending_call& pending,
+                            const worker_answer& answer)
+{
+    const bool tells_incarnation = pending.command == worker_command::poll &&
+                                   answer.status == command_status::ok;
+    if (answer.clock_ms < 0 || tells_incarnation ||
+        answer.status == command_status::other_incarnation)
+        return;
+    if (worker.is_plausible_clock(pending.sent_at, now, answer.clock_ms))
+    {
+        worker.update_clock(pending.sent_at, now, answer.clock_ms);
+        return;
+    }
+    if (!worker.is_restart_suspected())
+        context_.log(log_code::cell_worker_restart_suspected,
+                     fmt::format("worker={} runs={} clock_ms={}",
+                                 worker.report().id, worker.runs().size(),
+                                 answer.clock_ms));
+    worker.suspect_restart();
+    worker.doubt_incarnation(now, longest_unknown_lease());
+    worker.next_poll_at = std::min(worker.next_poll_at, now);
+}
+
+duration cell_owner::longest_unknown_lease() const
+{
+    return context_.identity.max_worker_lease *
+               (100 + 2 * config::cell_max_clock_drift_percent) / 100 +
+           duration(config::cell_relay_timeout_margin);
+}
+
 void cell_owner::fail_calls(
     time_point now, const std::function<bool(const pending_call&)>& has_failed)
 {
@@ -347,11 +377,13 @@
     // The lease of a worker that does not answer is not extended, because its
     // tasks can not run elsewhere before the lease ends.
     const auto lease = remaining_lease(now);
-    if (worker.has_clock() && worker.poll_failures == 0 && lease > duration(0))
+    if (worker.has_clock() && worker.poll_failures == 0 &&
+        !worker.is_restart_suspected() && lease > duration(0))
     {
         call.lease_until_ms =
             worker.clock_lower_bound_ms(now) + lease / milliseconds(1);
         worker.record_lease(call.lease_until_ms);
+        worker.record_call_in_doubt(now, longest_unknown_lease());
     }
     worker.poll_sent_at = now;
     worker.poll_call = send_call(now, relay_for(worker, worker.poll_failures),
@@ -368,9 +400,10 @@
                  fmt::format("worker={} runs={} listed_runs={} listed_ends={}",
                              worker.report().id, worker.runs().size(),
                              answer.running.size(), answer.ended.size()));
+    // Calls of before may have given the new incarnation a lease.
+    worker.doubt_incarnation(now, longest_unknown_lease());
     workers_.restart(worker);
     worker.first_seen = now;
-    worker.update_clock(now, answer.clock_ms);
     std::vector<run_key> unconfirmed;
     for (const auto& [key, run] : worker.runs())
         if (run.state != run_state::running)
@@ -412,6 +445,10 @@
         answer.incarnation_start_ms != 0 && worker.incarnation_start_ms != 0 &&
         answer.incarnation_start_ms != worker.incarnation_start_ms)
         on_worker_restarted(now, worker, answer);
+    else if (answer.status == command_status::ok)
+        worker.confirm_incarnation(pending.sent_at);
+    if (answer.status == command_status::ok && answer.clock_ms >= 0)
+        worker.update_clock(pending.sent_at, now, answer.clock_ms);
     if (answer.status != command_status::ok)
     {
         ++worker.poll_failures;
--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -7,6 +7,20 @@
 namespace carobcourse
 {
 
+namespace
+{
+
+/// Readings of a worker's clock and the bounds of their time are whole
+/// milliseconds.
+constexpr std::int64_t clock_rounding_ms = 2;
+
+std::int64_t milliseconds_of(duration time)
+{
+    return time / std::chrono::milliseconds(1);
+}
+
+} // namespace
+
 resources allocated_resources(const cell_run& run)
 {
     auto amount = run.amount;
@@ -27,32 +41,73 @@
     return found == runs_by_step_.end() ? 0 : found->second;
 }
 
-void cell_worker::update_clock(time_point now, std::int64_t clock_ms)
+void cell_worker::update_clock(time_point sent_at, time_point now,
+                               std::int64_t clock_ms)
 {
     // Answers can arrive out of order; an older reading is less exact.
     if (clock_ms < clock_ms_)
         return;
     clock_ms_ = clock_ms;
+    clock_asked_at_ = sent_at;
     clock_read_at_ = now;
 }
 
+bool cell_worker::is_plausible_clock(time_point sent_at, time_point now,
+                                     std::int64_t clock_ms) const
+{
+    if (!has_clock())
+        return true;
+    // Either clock may be the slow one, and readings are whole milliseconds.
+    const auto most =
+        milliseconds_of(now - clock_asked_at_) *
+            (100 + config::cell_max_clock_drift_percent) / 100 +
+        clock_rounding_ms;
+    const auto least_passed = milliseconds_of(sent_at - clock_read_at_);
+    const auto drift = least_passed > 0
+                           ? -2 * config::cell_max_clock_drift_percent
+                           : config::cell_max_clock_drift_percent;
+    const auto least = least_passed * (100 + drift) / 100 - clock_rounding_ms;
+    return clock_ms >= clock_ms_ + least && clock_ms <= clock_ms_ + most;
+}
+
+void cell_worker::doubt_incarnation(time_point now, duration longest_lease)
+{
+    doubted_at_ = now;
+    record_call_in_doubt(now, longest_lease);
+}
+
+void cell_worker::record_call_in_doubt(time_point now, duration longest_lease)
+{
+    if (doubted_at_)
+        unknown_lease_expires_at_ = now + longest_lease;
+}
+
+void cell_worker::confirm_incarnation(time_point sent_at)
+{
+    if (!doubted_at_ || sent_at < *doubted_at_)
+        return;
+    doubted_at_.reset();
+    unknown_lease_expires_at_ = {};
+    restart_suspected_ = false;
+}
+
 std::int64_t cell_worker::clock_lower_bound_ms(time_point now) const
 {
-    const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(
-                            now - clock_read_at_)
-                            .count();
     return clock_ms_ +
-           passed * (100 - config::cell_max_clock_drift_percent) / 100;
+           milliseconds_of(now - clock_read_at_) * (100 - config::cell_max_clock_drift_percent) / 100;
 }
 
 time_point cell_worker::lease_expires_at() const
 {
     if (clock_ms_ < 0 || lease_until_ms_ == 0)
-        return first_seen + config::cell_max_worker_lease_with_drift;
+        return std::max(unknown_lease_expires_at_,
+                        first_seen + config::cell_max_worker_lease_with_drift);
     const auto left = std::max<std::int64_t>(0, lease_until_ms_ - clock_ms_);
-    return clock_read_at_ +
-           std::chrono::milliseconds(
-               left * 100 / (100 - config::cell_max_clock_drift_percent) + 1);
+    return std::max(
+        unknown_lease_expires_at_,
+        clock_read_at_ +
+            std::chrono::milliseconds(
+                left * 100 / (100 - config::cell_max_clock_drift_percent) + 1));
 }
 
 cell_worker* cell_workers::find(const std::string& id)
@@ -82,6 +137,7 @@
     next.runs_ = std::move(worker.runs_);
     next.runs_by_step_ = std::move(worker.runs_by_step_);
     next.used_ = worker.used_;
+    next.unknown_lease_expires_at_ = worker.unknown_lease_expires_at_;
     worker = std::move(next);
 }
 
--- a/src/cell_workers_p.hpp
+++ b/src/cell_workers_p.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -110,9 +111,16 @@
     }
 
     /// Updates the estimate of the worker's clock with the reading from an
-    /// answer that arrived at `now`. Ignores readings older than the latest
-    /// one.
-    void update_clock(time_point now, std::int64_t clock_ms);
+    /// answer to a call that was sent at `sent_at` and answered by `now`.
+    /// Ignores readings older than the latest one. Precondition: the reading is
+    /// one of this incarnation.
+    void update_clock(time_point sent_at, time_point now,
+                      std::int64_t clock_ms);
+    /// Whether the reading can be one of the incarnation whose clock is known.
+    /// Only polls tell the start of the incarnation that answers. A reading
+    /// that fits by chance does no harm: deadlines mean the same on both clocks.
+    bool is_plausible_clock(time_point sent_at, time_point now,
+                            std::int64_t clock_ms) const;
     bool has_clock() const
     {
         return clock_ms_ >= 0;
@@ -126,10 +134,30 @@
     {
         lease_until_ms_ = std::max(lease_until_ms_, until_ms);
     }
+    /// Takes note that an incarnation that no poll has shown may have taken
+    /// calls until `now`. It may run them under a lease of `longest_lease`,
+    /// because the deadlines are on another clock.
+    void doubt_incarnation(time_point now, duration longest_lease);
+    /// Takes note of a call with a deadline that is sent at `now`.
+    void record_call_in_doubt(time_point now, duration longest_lease);
+    /// Takes note that a poll that was sent at `sent_at` has found the known
+    /// incarnation.
+    void confirm_incarnation(time_point sent_at);
+    /// Whether an answer came from another incarnation than the known one. No
+    /// start is sent before a poll has shown that.
+    bool is_restart_suspected() const
+    {
+        return restart_suspected_;
+    }
+    void suspect_restart()
+    {
+        restart_suspected_ = true;
+    }
     /// Returns the time after which no task runs there under the latest
-    /// recorded lease, even when the worker's clock is as slow as allowed.
-    /// Before a lease is recorded, assumes that an earlier owner granted the
-    /// longest possible one at `first_seen`.
+    /// recorded lease, even when the worker's clock is as slow as allowed, nor
+    /// under one of an incarnation that no poll has shown. Before a lease is
+    /// recorded, assumes that an earlier owner granted the longest possible one
+    /// at `first_seen`.
     time_point lease_expires_at() const;
 
     // State kept by the owner.
@@ -163,8 +191,14 @@
     std::map<std::uint64_t, std::uint32_t> runs_by_step_;
     resources used_;
     std::int64_t clock_ms_ = -1; ///< Latest clock reading; -1: none.
+    /// The reading was made between these two.
+    time_point clock_asked_at_;
     time_point clock_read_at_;
     std::int64_t lease_until_ms_ = 0; ///< 0: no lease was sent.
+    /// Since then calls may have reached an incarnation that no poll has shown.
+    std::optional<time_point> doubted_at_;
+    time_point unknown_lease_expires_at_; ///< Latest lease of such calls.
+    bool restart_suspected_ = false;
 };
 
 /// All workers of the cell, and the resources that each customer uses. Core
--- a/src/log_event_p.hpp
+++ b/src/log_event_p.hpp
@@ -101,7 +101,9 @@
     X(cell_start_failed, 2735, warning, "a start of a task did not succeed")   \
     X(cell_advice_failed, 2736, warning, "a call for advice did not succeed")  \
     X(cell_gang_waits, 2737, info, "workers are kept for a gang that waits")   \
-    X(cell_owner_behind, 2738, warning, "the owner is behind with its work")
+    X(cell_owner_behind, 2738, warning, "the owner is behind with its work")   \
+    X(cell_worker_restart_suspected, 2739, warning,                            \
+      "a worker answers by another clock")
 
 enum class log_code : std::uint16_t
 {
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -441,6 +441,7 @@
         identity.data_centre = data_centre;
         identity.incarnation = slot.entropy->hex(8);
         identity.peer_address = name;
+        identity.max_worker_lease = config::cell_max_worker_lease;
         const auto share = processor_shares.find(name);
         if (share != processor_shares.end())
             identity.processor_share = share->second;
@@ -648,8 +649,8 @@
         worker.pending_polls.clear();
     }
     /// Starts a worker again under its id. The new incarnation knows no runs,
-    /// ends or epochs, and its clock begins anew.
-    void restart_worker(const std::string& id)
+    /// ends or epochs, and its clock begins anew at `clock_ms`.
+    void restart_worker(const std::string& id, std::int64_t clock_ms = 0)
     {
         auto& worker = workers.at(id);
         for (const auto& end : worker.ends)
@@ -663,7 +664,8 @@
         fake_worker next;
         next.id = id;
         next.capacity = worker.capacity;
-        next.clock_offset_ms = -(now.time_since_epoch() / milliseconds(1));
+        next.clock_offset_ms =
+            clock_ms - now.time_since_epoch() / milliseconds(1);
         next.incarnation_start_ms =
             unix_offset_ms + now.time_since_epoch() / milliseconds(1);
         worker = std::move(next);
@@ -1053,7 +1055,9 @@
         answer.id = call.id;
         answer.status = command_status::ok;
         answer.clock_ms = clock_of(worker);
-        answer.incarnation_start_ms = worker.incarnation_start_ms;
+        // Only the lists of runs tell the incarnation.
+        if (call.command == worker_command::poll)
+            answer.incarnation_start_ms = worker.incarnation_start_ms;
         if (call.epoch < worker.epoch)
         {
             answer.status = command_status::fenced;
--- a/tests/test_cell_order.cpp
+++ b/tests/test_cell_order.cpp
@@ -172,7 +172,7 @@
 TEST_CASE("The lease of a worker expires by the slowest allowed clock")
 {
     auto at = worker("a", 1000);
-    at.update_clock(start, 50000);
+    at.update_clock(start, start, 50000);
     at.record_lease(56000);
     CHECK(at.lease_expires_at() >= start + milliseconds(6122));
     CHECK(at.clock_lower_bound_ms(start + milliseconds(1000)) == 50980);
