--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -181,8 +181,8 @@
     {
         const auto& report = worker.report();
         if (!worker.has_reported || !worker.reachable || !worker.listed ||
-            worker.is_restart_suspected() || report.draining || now < worker.avoid_until ||
-            worker.has_run_of_unknown_amount() ||
+            worker.is_restart_suspected() || report.draining ||
+            now < worker.avoid_until || worker.has_run_of_unknown_amount() ||
             context_.evacuated_data_centres.count(report.data_centre) > 0)
             continue;
         eligible_.all.push_back(&worker);
--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -58,10 +58,9 @@
     if (!has_clock())
         return true;
     // Either clock may be the slow one, and readings are whole milliseconds.
-    const auto most =
-        milliseconds_of(now - clock_asked_at_) *
-            (100 + config::cell_max_clock_drift_percent) / 100 +
-        clock_rounding_ms;
+    const auto most = milliseconds_of(now - clock_asked_at_) *
+                          (100 + config::cell_max_clock_drift_percent) / 100 +
+                      clock_rounding_ms;
     const auto least_passed = milliseconds_of(sent_at - clock_read_at_);
     const auto drift = least_passed > 0
                            ? -2 * config::cell_max_clock_drift_percent
@@ -93,8 +92,8 @@
 
 std::int64_t cell_worker::clock_lower_bound_ms(time_point now) const
 {
-    return clock_ms_ +
-           milliseconds_of(now - clock_read_at_) * (100 - config::cell_max_clock_drift_percent) / 100;
+    return clock_ms_ + milliseconds_of(now - clock_read_at_) *
+                           (100 - config::cell_max_clock_drift_percent) / 100;
 }
 
 time_point cell_worker::lease_expires_at() const
--- a/src/cell_workers_p.hpp
+++ b/src/cell_workers_p.hpp
@@ -118,7 +118,8 @@
                       std::int64_t clock_ms);
     /// Whether the reading can be one of the incarnation whose clock is known.
     /// Only polls tell the start of the incarnation that answers. A reading
-    /// that fits by chance does no harm: deadlines mean the same on both clocks.
+    /// that fits by chance does no harm: deadlines mean the same on both
+    /// clocks.
     bool is_plausible_clock(time_point sent_at, time_point now,
                             std::int64_t clock_ms) const;
     bool has_clock() const
--- a/tests/test_cell_worker_clocks.cpp
+++ b/tests/test_cell_worker_clocks.cpp
@@ -17,9 +17,8 @@
     explicit unpolled_worker_cell(std::int64_t clock_ms) : cell_with_owner(3, 3)
     {
         plan = [](const cell_task_id&, std::uint32_t) {
-            return fake_run{time_point(milliseconds(20000)),
-                            end_kind::done,
-                            {}};
+            return fake_run{
+                time_point(milliseconds(20000)), end_kind::done, {}};
         };
         run(milliseconds(2000));
         crash_worker("w0");
