Read the state of the cell in pages that a slow link can carry

The owner, a host with 10 Mbit/s, claimed the cell and never read its state: a page of the log has up to 1 MB and 1 s, and was asked for again as it was, from the start of the table. It sent heartbeats meanwhile, so that no other host took over.

Pages begin with 64 rows, double while they arrive, halve when one is late and then grow by a quarter. A page that was not read is asked for again after a delay, with the ones before it kept, and is logged and counted.

--- a/src/cell_context_p.hpp
+++ b/src/cell_context_p.hpp
@@ -76,13 +76,14 @@
     }
     /// Requests one page of `table`, starting behind the key `after`. Answered
     /// by a `store_result` with the returned id.
-    op_id request_scan(std::string table, std::string after = {})
+    op_id request_scan(std::string table, std::string after = {},
+                       std::size_t limit = config::cell_scan_page_rows)
     {
         store_scan scan;
         scan.op = next_op_id();
         scan.table = std::move(table);
         scan.after = std::move(after);
-        scan.limit = config::cell_scan_page_rows;
+        scan.limit = limit;
         effects.emplace_back(scan);
         return scan.op;
     }
--- a/src/cell_limits_p.hpp
+++ b/src/cell_limits_p.hpp
@@ -108,6 +108,9 @@
 constexpr auto cell_max_refusal_config_age = 2000ms;
 /// Maximum number of rows in one page of a scan.
 constexpr std::size_t cell_scan_page_rows = 500;
+/// Number of rows in the first page of a scan by a new owner. Rows have up to
+/// 64 KiB, and a small host has a link of 10 Mbit/s.
+constexpr std::size_t cell_first_scan_page_rows = 64;
 /// Timeout of a call to the store, and maximum time after which an unanswered
 /// commit is sent again, unless the store answers slowly. Far above the answer
 /// time of a slow store, which is 240 ms.
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -41,7 +41,7 @@
       journal_(std::move(row), version, claim_sent), claimed_at_(now)
 {
     for (int i = 0; i < static_cast<int>(state_table::count); ++i)
-        scan_table(static_cast<state_table>(i), "");
+        request_page({static_cast<state_table>(i), ""});
 }
 
 bool cell_owner::on_store(time_point now, const store_result& result)
@@ -54,12 +54,12 @@
         dispatch_due_ = true;
         return true;
     }
-    const auto scan = pending_scans_.find(result.op);
-    if (scan == pending_scans_.end())
+    const auto found = pending_pages_.find(result.op);
+    if (found == pending_pages_.end())
         return false;
-    const auto table = scan->second;
-    pending_scans_.erase(scan);
-    on_scan_result(now, table, result);
+    const auto page = std::move(found->second);
+    pending_pages_.erase(found);
+    on_page(now, page, result);
     return true;
 }
 
@@ -450,6 +450,7 @@
 
 void cell_owner::tick(time_point now, time_point heard_until)
 {
+    repeat_failed_pages(now);
     if (!loaded_)
         return;
     for (auto& [id, job] : jobs_)
--- a/src/cell_owner_load.cpp
+++ b/src/cell_owner_load.cpp
@@ -57,31 +57,57 @@
     return context_.external_rows.worker_table();
 }
 
-void cell_owner::scan_table(state_table table, std::string after)
+void cell_owner::request_page(table_page page)
 {
-    pending_scans_.emplace(
-        context_.request_scan(table_name(table), std::move(after)), table);
+    const auto op = context_.request_scan(table_name(page.table), page.after,
+                                          page_limit_.rows());
+    pending_pages_.emplace(op, std::move(page));
 }
 
-void cell_owner::on_scan_result(time_point now, state_table table,
+void cell_owner::on_page_failed(time_point now, const table_page& page,
                                 const store_result& result)
+{
+    const bool is_late = result.status == store_status::unknown;
+    context_.counters.count("carobcourse_scan_pages_failed_total",
+                            table_name(page.table));
+    context_.log(log_code::store_down,
+                 fmt::format("a page was not read table={} after={} rows={} "
+                             "late={} loaded={}",
+                             table_name(page.table), page.after,
+                             page_limit_.rows(), is_late, loaded_));
+    if (is_late)
+        page_limit_.on_page_late();
+    failed_pages_.emplace_back(now + config::cell_store_retry_delay, page);
+}
+
+void cell_owner::repeat_failed_pages(time_point now)
+{
+    for (auto& [at, page] : std::exchange(failed_pages_, {}))
+    {
+        if (now < at)
+            failed_pages_.emplace_back(at, std::move(page));
+        else
+            request_page(std::move(page));
+    }
+}
+
+void cell_owner::on_page(time_point now, const table_page& page,
+                         const store_result& result)
 {
     if (result.status != store_status::ok)
     {
-        if (table == state_table::log)
-            loaded_log_rows_.clear();
-        if (table == state_table::workers)
-            worker_scan_.clear();
-        scan_table(table, "");
+        on_page_failed(now, page, result);
         return;
     }
+    page_limit_.on_page_read();
+    const auto table = page.table;
     if (table == state_table::workers)
         worker_scan_.add(result);
     else
         load_rows(now, table, result.rows);
     if (result.more && !result.rows.empty())
     {
-        scan_table(table, result.rows.back().key);
+        request_page({table, result.rows.back().key});
         return;
     }
     if (table == state_table::workers && !finish_worker_scan(now))
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -255,14 +255,27 @@
         count
     };
 
+    /// A page of a scan: the rows of a table behind a key.
+    struct table_page
+    {
+        state_table table = state_table::owner;
+        std::string after;
+    };
+
     /// Returns null when the job is unknown or has ended.
     cell_job* find_job(const std::string& id) const;
 
     // Reading the state of the cell (cell_owner_load.cpp).
     std::string table_name(state_table table) const;
-    void scan_table(state_table table, std::string after);
-    void on_scan_result(time_point now, state_table table,
+    void request_page(table_page page);
+    void on_page(time_point now, const table_page& page,
+                 const store_result& result);
+    /// Asks again for a page that was not read. The pages before it are kept:
+    /// only the owner writes the log, and the list of workers counts as of its
+    /// oldest page.
+    void on_page_failed(time_point now, const table_page& page,
                         const store_result& result);
+    void repeat_failed_pages(time_point now);
     /// Applies a complete scan of the list of workers. Returns false, and
     /// scans it again later, when it is older than the list in use.
     bool finish_worker_scan(time_point now);
@@ -420,7 +433,10 @@
     cell_journal journal_;
     bool lost_ownership_ = false;
     bool loaded_ = false;
-    std::map<op_id, state_table> pending_scans_;
+    std::map<op_id, table_page> pending_pages_;
+    /// Pages that were not read, with the time of the next try.
+    std::vector<std::pair<time_point, table_page>> failed_pages_;
+    scan_page_limit page_limit_;
     std::set<state_table> loaded_tables_;
     /// Rows of the log by number, until all are read.
     std::map<std::uint64_t, std::vector<log_entry>> loaded_log_rows_;
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -44,7 +44,7 @@
     {
         reread_workers_ = false;
         next_worker_watch_ = time_point::max();
-        scan_table(state_table::workers, "");
+        request_page({state_table::workers, ""});
         return;
     }
     worker_watch_ =
--- a/src/cell_table_scan_p.hpp
+++ b/src/cell_table_scan_p.hpp
@@ -7,11 +7,40 @@
 #include <utility>
 #include <vector>
 
+#include "cell_limits_p.hpp"
 #include "event_p.hpp"
 
 namespace carobcourse
 {
 
+/// Number of rows that a page of a scan asks for. It doubles until a page does
+/// not arrive in time, halves with each such page and then grows by a quarter,
+/// so that a host on a slow link reads a table of any size. Not thread safe.
+class scan_page_limit
+{
+public:
+    std::size_t rows() const
+    {
+        return rows_;
+    }
+    /// A page of `rows()` rows or fewer has arrived.
+    void on_page_read()
+    {
+        const auto step = has_failed_ ? rows_ / 4 + 1 : rows_;
+        rows_ = std::min(rows_ + step, config::cell_scan_page_rows);
+    }
+    /// A page of `rows()` rows has not arrived in time.
+    void on_page_late()
+    {
+        has_failed_ = true;
+        rows_ = std::max<std::size_t>(rows_ / 2, 1);
+    }
+
+private:
+    std::size_t rows_ = config::cell_first_scan_page_rows;
+    bool has_failed_ = false;
+};
+
 /// Collects the pages of one scan. Each page holds the table as of another
 /// moment, so the rows count as of the oldest page: a watch from that version
 /// on repeats what later pages have had, and misses nothing. Not thread safe.
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -327,11 +327,15 @@
     /// Share of a processor by host.
     std::map<std::string, double> processor_shares;
     std::uint64_t watch_count = 0; ///< Watches of all hosts.
+    std::uint64_t page_count = 0;  ///< Pages of scans that hosts asked for.
     /// Called before the store carries out a scan.
     std::function<void(const store_scan&)> on_scan;
     bool store_down = false;
     bool store_drops_answers = false; ///< Commits take effect without answers.
     milliseconds store_delay = milliseconds(4);
+    /// Time that each row of an answer takes on the link to a host. An answer
+    /// that takes longer than the host waits for it is lost.
+    milliseconds row_transfer_time = milliseconds(0);
     /// When above 0, the store carries out the commits of all hosts one after
     /// another and each takes this long instead of `store_delay`.
     milliseconds store_transaction_time = milliseconds(0);
@@ -854,7 +858,16 @@
                 result = store_result{};
                 result.op = operation.op;
             }
-            after(milliseconds(2), [this, name, generation, result]
+            auto time = milliseconds(2) +
+                        row_transfer_time *
+                            static_cast<std::int64_t>(result.rows.size());
+            if (time > config::cell_store_timeout)
+            {
+                result = store_result{};
+                result.op = operation.op;
+                time = config::cell_store_timeout;
+            }
+            after(time, [this, name, generation, result]
                   { deliver(name, generation, result); });
         };
         if (!is_commit || store_transaction_time == milliseconds(0))
@@ -902,6 +915,7 @@
     void execute(const std::string& name, simulated_host& slot,
                  const store_scan& operation)
     {
+        ++page_count;
         send_to_store(
             name, slot, operation,
             [this](const store_scan& each)
--- a/tests/test_cell_recovery.cpp
+++ b/tests/test_cell_recovery.cpp
@@ -751,3 +751,50 @@
     for (unsigned job = 1; job <= 12; ++job)
         CHECK(cell.phase(job) == "completed");
 }
+
+TEST_CASE("A host on a slow link takes over a cell with long tables")
+{
+    // Guards against an owner that asks again and again for a page that is too
+    // large for its link, and never reads the state of the cell.
+    recovery_test_cell cell(2, 100);
+    const auto first = cell.owner();
+    const auto call = cell.submit(first, 1, cell.make_work(4, 1000, 800));
+    cell.run(milliseconds(300));
+    REQUIRE(cell.code_of(call) == result_code::ok);
+    cell.row_transfer_time = milliseconds(40);
+    cell.kill_host(first);
+    REQUIRE(cell.run_until(milliseconds(15000),
+                           [&] { return !cell.owner().empty(); }));
+    cell.run(milliseconds(8000));
+    CHECK(cell.phase(1) == "completed");
+    CHECK(cell.first_violation() == "none");
+}
+
+TEST_CASE("A page of the state that the store refuses is not asked for at once")
+{
+    // Guards against an owner that asks as fast as the store refuses.
+    recovery_test_cell cell(2, 4);
+    cell.row_transfer_time = milliseconds(600);
+    cell.kill_host(cell.owner());
+    const auto has_owner = [&]
+    {
+        return std::any_of(cell.hosts.begin(), cell.hosts.end(),
+                           [](const auto& each) {
+                               return each.second.host &&
+                                      each.second.host->is_owner();
+                           });
+    };
+    REQUIRE(cell.run_until(milliseconds(5000), has_owner));
+    for (auto& [name, slot] : cell.hosts)
+        slot.reaches_store = false;
+    cell.run(milliseconds(1500));
+    cell.page_count = 0;
+    cell.run(milliseconds(900));
+    REQUIRE(has_owner());
+    // Three tables of the owner, the operator's and the members' table.
+    constexpr std::uint64_t tables = 5;
+    const auto most =
+        tables * (milliseconds(900) / config::cell_store_retry_delay);
+    CHECK(cell.page_count > 0);
+    CHECK(cell.page_count <= most);
+}
