Judge the end of leases by when the ownership was confirmed

What matters is whether another host had claimed the cell when the leases were over: a later owner hears of nothing afterwards that counts. So the confirmed time is compared with the end of the leases, for unresolved tasks and for each worker; reports of all workers need none, since they also tell the workers this owner's epoch. It also closes the 400 ms before the end of a lease.

--- a/src/cell_limits_p.hpp
+++ b/src/cell_limits_p.hpp
@@ -66,10 +66,6 @@
 /// and report that its commits fail. Covers the longest delay between two of
 /// its commit attempts.
 constexpr auto cell_failing_owner_timeout = 800ms;
-/// After this long without a confirmed commit the owner assumes that another
-/// host may have taken over. Others claim the cell after `cell_owner_timeout`
-/// at the earliest.
-constexpr auto cell_ownership_confirmation_timeout = 400ms;
 /// Interval of the owner's heartbeats. The other hosts acknowledge each one.
 constexpr auto cell_heartbeat_interval = 200ms;
 /// The other hosts start to read the owner's row when no heartbeat has arrived
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -349,8 +349,10 @@
     /// Returns the longest lease that may be granted now; zero when none may
     /// be.
     duration remaining_lease(time_point now) const;
-    /// Returns false when another host may have claimed the cell.
-    bool is_ownership_confirmed(time_point now) const;
+    /// Whether the store has confirmed that no other host had claimed the cell
+    /// at that time. What a later owner hears of afterwards does not count for
+    /// leases that were over by then.
+    bool has_owned_at(time_point at) const;
     void update_workers(time_point now);
     /// Sends the stops and the poll that are due for `worker`. Returns true
     /// when the worker no longer exists and is to be removed.
--- a/src/cell_owner_runs.cpp
+++ b/src/cell_owner_runs.cpp
@@ -322,12 +322,12 @@
 /// owners has either reported all its runs and ends or can have no valid lease.
 void cell_owner::release_unresolved_tasks(time_point now)
 {
-    // A later owner may have heard of their ends.
-    if (!has_unresolved_tasks_ || !is_ownership_confirmed(now))
+    if (!has_unresolved_tasks_)
         return;
     if (!unresolved_workers_.empty())
     {
-        if (now < claimed_at_ + config::cell_max_worker_lease_with_drift)
+        if (!has_owned_at(claimed_at_ +
+                          config::cell_max_worker_lease_with_drift))
             return;
         std::set<std::string> silent;
         for (const auto& id : unresolved_workers_)
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -296,10 +296,9 @@
                                      now);
 }
 
-bool cell_owner::is_ownership_confirmed(time_point now) const
+bool cell_owner::has_owned_at(time_point at) const
 {
-    return now <= journal_.ownership_confirmed_at() +
-                      config::cell_ownership_confirmation_timeout;
+    return journal_.ownership_confirmed_at() >= at;
 }
 
 void cell_owner::update_workers(time_point now)
@@ -335,10 +334,9 @@
     send_stops(now, worker);
     if (worker.poll_call != 0)
         return false;
-    // While ownership is not confirmed, another host may have taken over the
-    // cell and received ends of tasks that this host does not know.
-    if (!worker.reachable && now >= worker.lease_expires_at() &&
-        is_ownership_confirmed(now))
+    // Before the lease is over a later owner may hear of ends that this host
+    // does not know.
+    if (!worker.reachable && has_owned_at(worker.lease_expires_at()))
     {
         if (!worker.runs().empty())
             drop_all_runs(now, worker, "lease_over");
