Fence each poll without an answer, not only those that acknowledge

A poll without an answer had the fence of the calls after it, so that a worker that had restarted carried it out seconds later: its deadline is far ahead on the new clock, and the worker kept its runs beyond the lease that the owner knew.

Each call after one without an answer has a higher fence now, and so has a start that is sent while a poll is open. A start that its owner's own later call has overtaken is sent again, a stop without the delay for failed ones. A late answer about a removed worker ends no ownership. Frames of entry hosts have a new version, because a relay of an earlier build would leave out the fence.

--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -361,15 +361,16 @@
     /// when the worker no longer exists and is to be removed.
     bool update_worker(time_point now, cell_worker& worker);
     void send_poll(time_point now, cell_worker& worker);
-    /// Whether the next poll may acknowledge ends: the incarnation that has
-    /// listed them can have ended since, so no other end may be on the next
-    /// one.
+    /// Whether the next poll may acknowledge ends. Requires a recent list of
+    /// the known incarnation and no unsettled start, so that an incarnation
+    /// that began since then has no ends of starts before the poll.
     bool may_acknowledge(time_point now, const cell_worker& worker) const;
-    /// Takes note of the end of a start or poll with or without an answer.
+    /// Records the end of a start or poll with or without an answer.
     void end_call(cell_worker& worker, const pending_call& pending,
                   command_status status);
     void on_worker_restarted(time_point now, cell_worker& worker,
                              const worker_answer& answer);
+    void on_poll_overtaken(cell_worker& worker, const pending_call& pending);
     void on_poll_answer(time_point now, cell_worker& worker,
                         const pending_call& pending,
                         const worker_answer& answer);
--- a/src/cell_owner_runs.cpp
+++ b/src/cell_owner_runs.cpp
@@ -76,7 +76,7 @@
             continue;
         }
         ++load_.new_ends;
-        if (worker.lists_from_last_seen &&
+        if (worker.ends_are_contiguous &&
             end.number != worker.last_seen_end + 1)
             report_missing_ends(worker, end.number);
         worker.last_seen_end = end.number;
@@ -448,7 +448,10 @@
                              pending.worker, to_string(answer.status),
                              pending.relay));
     const bool is_unknown = answer.status == command_status::unknown;
-    if (is_unknown && pending.attempt + 1 < config::cell_max_start_attempts &&
+    // A later call had arrived before.
+    const bool is_overtaken = answer.status == command_status::fenced;
+    if ((is_unknown || is_overtaken) &&
+        pending.attempt + 1 < config::cell_max_start_attempts &&
         !run->stop_requested && job &&
         remaining_lease(now) >= duration(config::cell_start_timeout))
     {
@@ -527,7 +530,9 @@
     if (!run)
         return;
     run->stop_call = 0;
-    run->next_stop_at = now + config::cell_stop_retry_delay;
+    const bool is_overtaken = answer.status == command_status::fenced;
+    run->next_stop_at =
+        is_overtaken ? now : now + config::cell_stop_retry_delay;
     if (answer.status == command_status::ok)
     {
         run->next_stop_at = now + config::cell_stop_repeat_delay;
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -186,7 +186,8 @@
     // The call did nothing. A later call of this owner has a higher fence, or a
     // later owner has: that shows with the next call.
     const bool is_overtaken = answer.status == command_status::fenced &&
-                              worker && pending.fence < worker->fence.last();
+                              pending.fence < (worker ? worker->fence.last()
+                                                      : workers_.first_fence());
     if (answer.status == command_status::fenced && !is_overtaken)
     {
         // Only a later owner raises the epoch of a worker or of a relay.
@@ -214,7 +215,7 @@
     {
     case worker_command::poll:
         if (is_overtaken)
-            worker->poll_call = 0;
+            on_poll_overtaken(*worker, pending);
         else
             on_poll_answer(now, *worker, pending, answer);
         break;
@@ -233,9 +234,9 @@
 void cell_owner::end_call(cell_worker& worker, const pending_call& pending,
                           command_status status)
 {
-    const bool is_answered = status != command_status::unknown;
     if (pending.command == worker_command::start)
-        worker.fence.end_start(pending.fence, is_answered);
+        worker.fence.end_start(pending.fence,
+                               status != command_status::unknown);
     else if (pending.command == worker_command::poll)
         worker.fence.end_poll(pending.fence, status == command_status::ok);
 }
@@ -404,7 +405,7 @@
     if (acknowledges)
         call.acked_end = worker.last_durable_end;
     worker.waits_to_acknowledge = has_ends_to_acknowledge && !acknowledges;
-    worker.fence.begin_poll(acknowledges);
+    worker.fence.begin_poll();
     // A worker with unacknowledged ends answers at once, so a wait has no
     // effect. The first poll does not wait, because the worker's clock is still
     // unknown.
@@ -456,7 +457,7 @@
     worker.doubt_incarnation(now, longest_unknown_lease());
     workers_.restart(worker);
     worker.first_seen = now;
-    worker.lists_from_last_seen = true;
+    worker.ends_are_contiguous = true;
     std::vector<run_key> unconfirmed;
     for (const auto& [key, run] : worker.runs())
         if (run.state != run_state::running)
@@ -472,6 +473,15 @@
     }
 }
 
+void cell_owner::on_poll_overtaken(cell_worker& worker,
+                                   const pending_call& pending)
+{
+    worker.poll_call = 0;
+    // More starts might overtake the next poll as well.
+    if (pending.acked_end > 0)
+        worker.waits_to_acknowledge = true;
+}
+
 void cell_owner::on_poll_answer(time_point now, cell_worker& worker,
                                 const pending_call& pending,
                                 const worker_answer& answer)
@@ -531,9 +541,9 @@
     worker.incarnation_start_ms = answer.incarnation_start_ms;
     worker.has_reported = true;
     reconcile_runs(now, worker, pending, answer);
-    // An earlier owner may have acknowledged the first ones.
-    worker.lists_from_last_seen =
-        worker.lists_from_last_seen || worker.last_seen_end > 0;
+    // An earlier owner may have acknowledged the first ends.
+    worker.ends_are_contiguous =
+        worker.ends_are_contiguous || worker.last_seen_end > 0;
     worker.next_poll_at = now;
 }
 
--- a/src/cell_worker_fence_p.hpp
+++ b/src/cell_worker_fence_p.hpp
@@ -1,4 +1,4 @@
-/// Order of the calls to a worker that makes late ones harmless.
+/// Fencing of the calls to one worker.
 #pragma once
 
 #include <cstdint>
@@ -11,39 +11,40 @@
 /// incarnations of the worker. A worker does nothing for a call whose fence is
 /// lower than one it has seen; a restarted worker has seen none. A call without
 /// an answer may be carried out seconds later, by a later incarnation, whose
-/// ends are numbered from 1 again.
+/// ends are numbered from 1 again and whose clock has begun anew.
 ///
-/// Keeps an acknowledgement that is carried out late from removing ends that no
-/// list has named: a start has a higher fence than all acknowledgements before
-/// it that have no answer, and `may_acknowledge` is false while a start from
-/// before may have an effect that is not known.
+/// A call after one without an answer has a higher fence, and so has a start
+/// that is sent while a poll is open. So a poll that is carried out late does
+/// nothing once a later start has arrived: it neither removes ends that no list
+/// has named nor extends a lease. A start that is the first call to reach an
+/// incarnation can not be fenced.
 ///
-/// The calls of a fence are numbered within the epoch of the owner. Core thread
-/// only.
+/// Fences are numbered within the epoch of the owner. Core thread only.
 class worker_fence
 {
 public:
     /// Precondition: `first` is above the fences of all earlier calls of the
-    /// owner to the worker.
+    /// owner to the worker id.
     explicit worker_fence(std::uint32_t first = 0) : first_(first), last_(first)
     {
     }
 
-    /// Highest fence of any call so far.
+    /// Highest fence so far: the one of the call that is sent next.
     std::uint32_t last() const
     {
         return last_;
     }
-    /// Takes note of a start that is sent with the fence `last()`.
+    /// Records a start. May raise `last()`, so it comes before the call is
+    /// sent.
     void begin_start();
-    /// Takes note of the end of a start with the fence `fence`. Without an
-    /// answer it may be carried out later.
+    /// Records the end of a start with the fence `fence`. Without an answer it
+    /// may be carried out later.
     void end_start(std::uint32_t fence, bool is_answered);
-    /// Takes note of a poll that is sent with the fence `last()`.
-    /// Preconditions: no other poll is open; `may_acknowledge()` if it
-    /// acknowledges ends.
-    void begin_poll(bool acknowledges);
-    /// Takes note of the end of the poll with the fence `fence`.
+    /// Records a poll. May raise `last()`, so it comes before the call is sent.
+    /// Precondition: no other poll is open.
+    void begin_poll();
+    /// Records the end of the poll with the fence `fence`. A refusal counts as
+    /// no answer: it does not show the effect of earlier starts.
     void end_poll(std::uint32_t fence, bool is_answered);
 
     /// Whether starts are open that an answer will settle.
@@ -66,16 +67,17 @@
 
 private:
     void raise();
+    void record_lost_call(std::uint32_t fence);
 
     std::uint32_t first_;
     std::uint32_t last_;
     unsigned open_starts_ = 0;
     /// Highest fence of the starts without an answer that are not settled.
     std::optional<std::uint32_t> lost_start_;
-    /// The open poll acknowledges ends with the fence `last_`.
-    bool has_open_acknowledgement_ = false;
-    /// A poll without an answer has acknowledged ends with the fence `last_`.
-    bool has_lost_acknowledgement_ = false;
+    /// The open poll has the fence `last_`.
+    bool has_open_poll_ = false;
+    /// A call without an answer has the fence `last_`.
+    bool has_lost_call_ = false;
 };
 
 } // namespace carobcourse
--- a/src/cell_workers_p.hpp
+++ b/src/cell_workers_p.hpp
@@ -177,9 +177,10 @@
     std::uint64_t last_durable_end = 0;
     /// Number of the latest end report that the worker has forgotten.
     std::uint64_t last_acknowledged_end = 0;
-    /// The ends that this incarnation lists follow on `last_seen_end`.
-    bool lists_from_last_seen = false;
-    /// New starts would put off an acknowledgement further.
+    /// The next new end of this incarnation has the number after
+    /// `last_seen_end`.
+    bool ends_are_contiguous = false;
+    /// Gets no starts, which would put off an acknowledgement further.
     bool waits_to_acknowledge = false;
     std::uint64_t poll_call = 0; ///< Id of the poll in flight; 0: none.
     time_point poll_sent_at;
@@ -237,6 +238,12 @@
     /// incarnation may have accepted some of them.
     void restart(cell_worker& worker);
 
+    /// Returns a fence above those of all calls to workers that were removed.
+    std::uint32_t first_fence() const
+    {
+        return first_fence_;
+    }
+
     /// Adds a run and occupies its resources. Precondition: the worker does not
     /// have a run with this key.
     void add_run(cell_worker& worker, const run_key& key, cell_run run);
@@ -250,9 +257,7 @@
 private:
     std::map<std::string, cell_worker> workers_;
     worker_number next_number_ = 0;
-    /// Above the fences of the calls to workers that were removed, which may be
-    /// back under their ids.
-    std::uint32_t first_fence_ = 0;
+    std::uint32_t first_fence_ = 0; ///< Removed workers may be back.
     std::map<std::string, resources> usage_;
 };
 
--- a/src/peer_codec_p.hpp
+++ b/src/peer_codec_p.hpp
@@ -11,7 +11,7 @@
 {
 
 /// A frame of another version is refused.
-constexpr unsigned peer_protocol_version = 2;
+constexpr unsigned peer_protocol_version = 3;
 
 /// A decoded frame; the type and the fields of the body have their long names.
 struct peer_frame
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -245,6 +245,7 @@
     std::int64_t lease_ms = 0; ///< End of the lease, on the worker's clock.
     std::uint64_t epoch = 0;
     std::uint32_t fence = 0; ///< Highest one of calls of `epoch`.
+    std::map<worker_command, unsigned> fenced_calls; ///< Refused.
     std::map<run_key, fake_run> runs;
     std::map<cell_task_id, std::uint32_t> highest_ended_run;
     std::vector<end_report> ends;
@@ -1102,6 +1103,7 @@
             std::tie(worker.epoch, worker.fence))
         {
             answer.status = command_status::fenced;
+            ++worker.fenced_calls[call.command];
             reply(answer);
             return;
         }
--- a/tests/test_cell_acknowledgements.cpp
+++ b/tests/test_cell_acknowledgements.cpp
@@ -120,22 +120,37 @@
     CHECK(cell.count_of(log_code::cell_ends_missing) == 1);
 }
 
-TEST_CASE("A call that a later call of its owner has overtaken ends no "
-          "ownership")
+TEST_CASE("A call that a later call of its owner has overtaken does not end "
+          "the ownership")
 {
     // Guards against an owner that takes its own fence for that of a later one.
+    const auto late_command =
+        GENERATE(worker_command::poll, worker_command::start);
+    INFO("command " << static_cast<int>(late_command));
     busy_cell cell;
     const auto owner = cell.owner();
-    std::uint64_t late = 0;
-    cell.workers["w0"].delivery_delay = [&](const worker_call& call)
+    auto& worker = cell.workers["w0"];
+    unsigned calls = 0;
+    worker.delivery_delay = [&](const worker_call& call)
     {
-        const bool is_late = call.acked_end > 0 && call.id % 3 == 0;
-        late += is_late ? 1 : 0;
-        return milliseconds(is_late ? 120 : 0);
+        const bool is_late =
+            call.command == late_command &&
+            (call.command == worker_command::start || call.acked_end > 0) &&
+            ++calls % 3 == 0;
+        return milliseconds(is_late ? 200 : 0);
     };
-    cell.submit_jobs_for(milliseconds(3000));
+    unsigned starts = 0;
+    // After a start without an answer the next poll has a higher fence.
+    worker.drops_answer = [&](const worker_call& call)
+    {
+        return late_command == worker_command::start &&
+               call.command == worker_command::start && ++starts % 3 == 1;
+    };
+    cell.submit_jobs_for(milliseconds(6000));
+    worker.drops_answer = nullptr;
+    worker.delivery_delay = nullptr;
     cell.run(milliseconds(3000));
-    CHECK(late > 0);
+    CHECK(worker.fenced_calls[late_command] > 0);
     CHECK(cell.owner() == owner);
     CHECK(cell.count_of(log_code::cell_fenced) == 0);
     for (const auto& [id, each] : cell.workers)
--- a/tests/test_worker_fence.cpp
+++ b/tests/test_worker_fence.cpp
@@ -5,11 +5,12 @@
 
 using namespace carobcourse;
 
-TEST_CASE("A start is above each acknowledgement without an answer")
+TEST_CASE("A start is above each poll without an answer")
 {
-    // Guards against an acknowledgement that is carried out after the start.
+    // Guards against a poll that is carried out after the start and removes its
+    // end or extends its lease.
     worker_fence fence;
-    fence.begin_poll(true);
+    fence.begin_poll();
     const auto poll = fence.last();
     SECTION("while the poll is open")
     {
@@ -19,7 +20,8 @@
     SECTION("when the poll has ended without an answer")
     {
         fence.end_poll(poll, false);
-        fence.begin_poll(true);
+        fence.begin_poll();
+        CHECK(fence.last() > poll);
         fence.end_poll(fence.last(), true);
         fence.begin_start();
         CHECK(fence.last() > poll);
@@ -32,6 +34,20 @@
     }
 }
 
+TEST_CASE("A poll that a start has overtaken counts as lost")
+{
+    // Guards against a refused poll that settles a start without an answer.
+    worker_fence fence;
+    fence.begin_start();
+    fence.end_start(fence.last(), false);
+    fence.begin_poll();
+    const auto poll = fence.last();
+    fence.begin_start();
+    fence.end_start(fence.last(), true);
+    fence.end_poll(poll, false);
+    CHECK_FALSE(fence.may_acknowledge());
+}
+
 TEST_CASE("Nothing is acknowledged before starts from before are settled")
 {
     // Guards against an acknowledgement for which an end of the start counts
@@ -42,7 +58,7 @@
     CHECK_FALSE(fence.may_acknowledge());
     fence.end_start(start, false);
     CHECK_FALSE(fence.may_acknowledge());
-    fence.begin_poll(false);
+    fence.begin_poll();
     const auto poll = fence.last();
     CHECK(poll > start);
     SECTION("an answer to a poll above it settles the start")
@@ -64,7 +80,7 @@
     }
 }
 
-TEST_CASE("Calls of before a removed worker are of no account")
+TEST_CASE("Calls of before a removed worker are ignored")
 {
     // Guards against counts that a late answer brings below 0.
     worker_fence fence(7);
