Start no task elsewhere while a listed run of it goes on

An owner gives a run up when its start is settled as never carried out, or when the lease of its worker is taken as over. When a worker listed such a run after all, the owner sent a stop, but the task went on waiting and could start elsewhere while the stop took effect. The class: what is known of a run is kept with the worker, but the decision to start looks only at the task.

Change: a listed run of a waiting task becomes its current run again, whether it is the latest one or not, and goes on. A gang is stopped and waits until the ends of all listed members are known. A run that is listed beside another current one is stopped as before; when the current one is given up meanwhile, the task waits for the end of the stopped one. The task keeps its highest run number apart from that of its current run, so that no number is used again.

Not covered: a start on time beside a run that no list has named yet.

--- a/src/cell_job_p.hpp
+++ b/src/cell_job_p.hpp
@@ -28,12 +28,15 @@
     done
 };
 
-/// A task and its latest run.
+/// A task and its current run, or its latest one while it has none.
 struct cell_task
 {
     cell_task_state state = cell_task_state::waiting;
-    std::string worker;    ///< Worker of the latest run.
-    std::uint32_t run = 0; ///< Number of the latest run; 0: never started.
+    std::string worker;    ///< Worker of the run.
+    std::uint32_t run = 0; ///< Number of the run; 0: never started.
+    /// Highest number of any run. It is above `run` when a worker has listed an
+    /// earlier run that had been given up.
+    std::uint32_t highest_run = 0;
     /// Numbers of the failed runs. It is a set because workers report failures
     /// in any order, and report them again to a new owner.
     std::set<std::uint32_t> failed_runs;
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -306,6 +306,7 @@
     task.state = cell_task_state::starting;
     task.worker = target.report().id;
     task.run = run;
+    task.highest_run = run;
     ++step->active;
     cell_run entry;
     entry.amount = spec.amount;
@@ -382,7 +383,7 @@
             if (!best)
                 break;
             start_task(now, ready, i, *best->worker, std::string(best->ticket),
-                       cell_job::next_run_number(task.run, row().epoch,
+                       cell_job::next_run_number(task.highest_run, row().epoch,
                                                  ready.job->accepted_epoch()));
             --ready.waiting_tasks;
         }
@@ -409,7 +410,7 @@
             std::string checkpoint;
             for (const auto& task : step->tasks)
             {
-                last = std::max(last, task.run);
+                last = std::max(last, task.highest_run);
                 checkpoint = std::max(checkpoint, task.checkpoint);
             }
             const auto run = cell_job::next_run_number(
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -388,14 +388,19 @@
     void report_missing_ends(const cell_worker& worker, std::uint64_t next_end);
     void adopt_run(time_point now, cell_worker& worker,
                    const running_report& report);
+    /// Makes a run that a worker has listed the current run of its task.
+    /// Precondition: the task is waiting or unresolved.
+    void set_current_run(cell_job& job, const run_key& key,
+                         const std::string& worker);
+    void remove_run(cell_worker& worker, const run_key& key);
     /// Records that a worker has begun a task of the job.
     void mark_begun(cell_job& job);
     void on_run_ended(time_point now, cell_worker& worker,
                       const end_report& end);
     void drop_all_runs(time_point now, cell_worker& worker, const char* reason);
     void drop_run(time_point now, cell_worker& worker, const run_key& key);
-    /// Makes the task wait for a new start if `key` is its latest run and is on
-    /// `worker`.
+    /// Makes the task wait for a new start if `key` is its current run and is
+    /// on `worker`, or for the end of another run of the task.
     void requeue_task(const std::string& worker, const run_key& key);
     void stop_gang(time_point now, cell_job& job, const cell_task_id& member);
     void request_stop(time_point now, cell_worker& worker, const run_key& key);
@@ -510,6 +515,9 @@
     bool store_failing_ = false;
     /// Tasks in state `unresolved` wait for `unresolved_workers_`.
     bool has_unresolved_tasks_ = true;
+    /// Listed runs beside the current runs of their tasks, with their workers.
+    /// They are being stopped.
+    std::map<run_key, std::string> superfluous_runs_;
     std::map<std::uint64_t, pending_call> pending_calls_;
     /// Deadlines of the calls by id, the next one first. Calls that have been
     /// answered stay until their deadline.
--- a/src/cell_owner_runs.cpp
+++ b/src/cell_owner_runs.cpp
@@ -149,21 +149,53 @@
         run.expected_end = now + std::chrono::milliseconds(spec.estimate_ms);
     }
     run.amount_unknown = !task;
-    const bool wanted = task && task->state == cell_task_state::unresolved &&
-                        !is_final(job->phase());
+    // A waiting task has had its latest run given up. It may be this one, whose
+    // start was carried out late by a restarted worker.
+    const bool was_given_up = task && task->state == cell_task_state::waiting;
+    const bool wanted =
+        task && (was_given_up || task->state == cell_task_state::unresolved) &&
+        !is_final(job->phase());
     run.stop_requested = !wanted;
-    workers_.add_run(worker, {report.task, report.run}, run);
-    context_.log(log_code::cell_task_adopted,
-                 fmt::format("task={} run={} worker={} wanted={} epoch={}",
-                             to_string(report.task), report.run,
-                             worker.report().id, wanted, row().epoch));
-    if (task)
-        mark_begun(*job);
+    const run_key key{report.task, report.run};
+    const auto& id = worker.report().id;
+    workers_.add_run(worker, key, run);
+    context_.log(
+        log_code::cell_task_adopted,
+        fmt::format("task={} run={} worker={} wanted={} highest_run={} "
+                    "epoch={}",
+                    to_string(report.task), report.run, id, wanted,
+                    task ? task->highest_run : 0, row().epoch));
+    if (!task)
+        return;
+    mark_begun(*job);
     if (!wanted)
+    {
+        task->highest_run = std::max(task->highest_run, report.run);
+        superfluous_runs_[key] = id;
         return;
-    task->state = cell_task_state::running;
-    task->worker = worker.report().id;
-    task->run = report.run;
+    }
+    set_current_run(*job, key, id);
+    // The other members have been given up or are being stopped.
+    if (was_given_up && job->spec().steps[report.task.step].gang)
+        stop_gang(now, *job, report.task);
+}
+
+void cell_owner::set_current_run(cell_job& job, const run_key& key,
+                                 const std::string& worker)
+{
+    auto& task = *job.find(key.first);
+    if (task.state == cell_task_state::waiting)
+        ++job.find_step(key.first.occurrence, key.first.step)->active;
+    task.state = cell_task_state::running;
+    task.worker = worker;
+    task.run = key.second;
+    task.highest_run = std::max(task.highest_run, key.second);
+}
+
+void cell_owner::remove_run(cell_worker& worker, const run_key& key)
+{
+    workers_.remove_run(worker, key);
+    superfluous_runs_.erase(key);
 }
 
 void cell_owner::mark_begun(cell_job& job)
@@ -192,7 +224,7 @@
                     end.number, worker.incarnation_start_ms));
     auto* job = find_job(end.task.job);
     auto* task = find_reported_task(job, end.task);
-    workers_.remove_run(worker, key);
+    remove_run(worker, key);
     if (!task || is_final(job->phase()))
         return;
     mark_begun(*job);
@@ -237,6 +269,9 @@
     task->state = cell_task_state::waiting;
     --step->active;
     dispatch_due_ = true;
+    const auto other = superfluous_runs_.lower_bound({key.first, 0});
+    if (other != superfluous_runs_.end() && other->first.first == key.first)
+        set_current_run(*job, other->first, other->second);
 }
 
 void cell_owner::drop_run(time_point now, cell_worker& worker,
@@ -249,7 +284,7 @@
     auto* task = job ? job->find(key.first) : nullptr;
     if (task && !run->checkpoint.empty())
         task->checkpoint = run->checkpoint;
-    workers_.remove_run(worker, key);
+    remove_run(worker, key);
     requeue_task(worker.report().id, key);
     if (task && job->spec().steps[key.first.step].gang)
         stop_gang(now, *job, key.first);
