Let only the present address of a worker tell that its runs are gone

An answer with status 421 tells that an address belongs to another worker, and the owner gives up all runs of the id at once. Answers on different connections overtake each other: when the worker had come back under its id at another address, the answer to a poll of its former address came after starts at the present one, and their tasks started again elsewhere.

Change: a pending call keeps the address that it was sent to. A 421 from a former address counts as a poll without success; the next poll goes to the present address and tells the restart. A 421 from the present address has the effect that it had, which no test covered: "Runs on a worker whose address another one has taken start again" passes before and after.

The harness lets a row name an address that is not the worker's id, and a worker refuse all calls as another incarnation.

Passed: test_cell_hidden_runs, test_cell_worker_restart, test_cell_worker_clocks, test_cell_recovery, test_cell_job, test_cell_acknowledgements.

--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -194,6 +194,7 @@
         worker_command command = worker_command::poll;
         std::string relay;
         std::string worker;
+        std::string address; ///< Of the worker when the call was sent.
         run_key key;
         time_point sent_at;
         time_point deadline;
--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -158,6 +158,7 @@
     pending.command = call.command;
     pending.relay = relay;
     pending.worker = call.worker;
+    pending.address = call.address;
     pending.acked_end = call.acked_end;
     if (const auto* worker = workers_.find(call.worker))
         call.fence = worker->fence.last();
@@ -479,7 +480,9 @@
     worker.poll_call = 0;
     ++load_.polls;
     const auto& id = worker.report().id;
-    if (answer.status == command_status::other_incarnation)
+    // Answers from a former address may come after starts at the present one.
+    if (answer.status == command_status::other_incarnation &&
+        pending.address == worker.report().address)
     {
         // The incarnation with this id has ended, and all its runs with it.
         drop_all_runs(now, worker, "restarted");
--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -68,7 +68,7 @@
         worker_report report;
         report.id = key;
         report.service = "service";
-        report.address = key;
+        report.address = body.value("address", key);
         report.data_centre = body.at("dc");
         report.rack = "r1";
         report.capacity = {body.at("cpu"), body.at("mem"), 0};
@@ -263,6 +263,8 @@
     std::function<milliseconds(const worker_call&)> delivery_delay;
     /// Answer to each start, which then has no effect; empty: starts are taken.
     std::optional<command_status> start_refusal;
+    /// The address belongs to another worker now, which refuses all calls.
+    bool is_replaced = false;
     /// Delay before a start takes effect; its answer is lost unless this is 0.
     std::int64_t start_delay_ms = 0;
     std::int64_t stop_delay_ms = 0; ///< Time from a stop to the end of the run.
@@ -1098,6 +1100,13 @@
         // Only the lists of runs tell the incarnation.
         if (call.command == worker_command::poll)
             answer.incarnation_start_ms = worker.incarnation_start_ms;
+        if (worker.is_replaced)
+        {
+            answer.status = command_status::other_incarnation;
+            answer.incarnation_start_ms = 0;
+            reply(answer);
+            return;
+        }
         if (std::tie(call.epoch, call.fence) <
             std::tie(worker.epoch, worker.fence))
         {
--- a/tests/test_cell_hidden_runs.cpp
+++ b/tests/test_cell_hidden_runs.cpp
@@ -1,6 +1,6 @@
-// Tests runs that a worker lists after the owner has given them up. The starts
-// of these runs are settled as never carried out; then the worker restarts, and
-// its next incarnation carries them out.
+// Tests runs that the owner has given up although they go on, or gives up too
+// early. Most are starts that are settled as never carried out; then the worker
+// restarts, and its next incarnation carries them out.
 #include "cell_harness.hpp"
 
 using namespace cell_test;
@@ -140,3 +140,85 @@
     CHECK(cell.phase(late_job) == "completed");
     CHECK(cell.first_violation() == "none");
 }
+
+namespace
+{
+
+/// A cell with two workers whose tasks take 3 s.
+struct replaced_worker_cell : cell_with_owner
+{
+    replaced_worker_cell() : cell_with_owner(3, 2)
+    {
+        plan = [](const cell_task_id&, std::uint32_t) {
+            return fake_run{time_point(milliseconds(3000)), end_kind::done, {}};
+        };
+    }
+    /// Another worker takes the address of `w0`. It answers polls late.
+    void replace_worker()
+    {
+        auto& worker = workers["w0"];
+        worker.runs.clear();
+        worker.is_replaced = true;
+        worker.delivery_delay = [](const worker_call& call) {
+            return milliseconds(call.command == worker_command::poll ? 600 : 0);
+        };
+        for (auto& each : std::exchange(worker.pending_polls, {}))
+            each.answer();
+        run(milliseconds(50));
+    }
+    /// The next incarnation of `w0` comes up at another address.
+    void move_worker()
+    {
+        const auto& worker = workers["w0"];
+        fake_worker next;
+        next.id = "moved";
+        next.capacity = worker.capacity;
+        next.clock_offset_ms = worker.clock_offset_ms;
+        next.incarnation_start_ms = worker.incarnation_start_ms + 1;
+        workers["moved"] = next;
+        store.put(worker_rows_table, "w0",
+                  nlohmann::json{{"dc", "dc0"},
+                                 {"cpu", worker.capacity.cpu_millis},
+                                 {"mem", worker.capacity.memory_mb},
+                                 {"address", "moved"}}
+                      .dump());
+        run(milliseconds(200));
+    }
+};
+
+} // namespace
+
+TEST_CASE("An answer from the former address of a worker drops none of its "
+          "runs")
+{
+    // Guards against runs elsewhere of tasks that the worker has started at its
+    // present address while the answer was on its way.
+    replaced_worker_cell cell;
+    cell.replace_worker();
+    cell.move_worker();
+    for (unsigned job = 1; job <= 2; ++job)
+        cell.submit(cell.owner(), job, cell.make_work(2, 2000, 3000));
+    REQUIRE(cell.run_until(milliseconds(250), [&]
+                           { return !cell.workers["moved"].runs.empty(); }));
+    cell.run(milliseconds(9000));
+    for (unsigned job = 1; job <= 2; ++job)
+        CHECK(cell.phase(job) == "completed");
+    CHECK(cell.first_violation() == "none");
+}
+
+TEST_CASE("Runs on a worker whose address another one has taken start again")
+{
+    // Guards against tasks that wait for the lease of a worker that is known to
+    // be gone.
+    replaced_worker_cell cell;
+    for (unsigned job = 1; job <= 2; ++job)
+        cell.submit(cell.owner(), job, cell.make_work(2, 2000, 3000));
+    cell.run(milliseconds(500));
+    const auto lost = cell.workers["w0"].runs;
+    REQUIRE_FALSE(lost.empty());
+    cell.replace_worker();
+    cell.run(milliseconds(1500));
+    for (const auto& [key, run] : lost)
+        CHECK(cell.starts[key.first] == 2);
+    CHECK(cell.first_violation() == "none");
+}
