--- a/tests/cell_harness.hpp
+++ b/tests/cell_harness.hpp
@@ -261,6 +261,12 @@
     std::function<milliseconds(const worker_call&)> lateness;
     /// Time that a call takes to the worker beyond that of others.
     std::function<milliseconds(const worker_call&)> delivery_delay;
+    /// Calls with a delay above 0 are carried out a second time after it, by
+    /// the incarnation that is up then. The copy has no answer.
+    std::function<milliseconds(const worker_call&)> copy_delay;
+    /// Time that an answer takes to the host beyond that of others. Answers
+    /// after the timeout of their calls are lost.
+    std::function<milliseconds(const worker_call&)> answer_delay;
     /// Answer to each start, which then has no effect; empty: starts are taken.
     std::optional<command_status> start_refusal;
     /// Delay before a start takes effect; its answer is lost unless this is 0.
@@ -1037,13 +1043,7 @@
             none.id = call.id;
             after(milliseconds(call.timeout_ms),
                   [reply, none] { reply(none); });
-            after(late,
-                  [this, call]
-                  {
-                      auto& at = workers[call.address];
-                      if (at.reachable)
-                          handle_call(at, call, [](const worker_answer&) {});
-                  });
+            carry_out_later(late, call);
             return;
         }
         const auto delay = call.command == worker_command::start
@@ -1063,12 +1063,35 @@
         }
         if (crosses_partition || !worker.reachable || call_dropped)
             return;
+        const auto copy =
+            worker.copy_delay ? worker.copy_delay(call) : milliseconds(0);
+        if (copy.count() > 0)
+            carry_out_later(copy, call);
         const bool answers = delay.count() == 0 && !answer_dropped;
+        const auto answer_delay =
+            worker.answer_delay ? worker.answer_delay(call) : milliseconds(0);
+        const auto delayed_reply =
+            [this, reply, answer_delay,
+             timeout_at = now + milliseconds(call.timeout_ms)](
+                const worker_answer& answer)
+        {
+            if (answer_delay.count() == 0)
+                reply(answer);
+            else if (now + answer_delay < timeout_at)
+                after(answer_delay, [reply, answer] { reply(answer); });
+            else
+            {
+                worker_answer none;
+                none.id = answer.id;
+                after(std::chrono::ceil<milliseconds>(timeout_at - now),
+                      [reply, none] { reply(none); });
+            }
+        };
         const auto delivery = worker.delivery_delay
                                   ? worker.delivery_delay(call)
                                   : milliseconds(0);
         after(milliseconds(1) + delay + delivery,
-              [this, call, reply, answers,
+              [this, call, delayed_reply, answers,
                incarnation = worker.incarnation_start_ms]
               {
                   auto& at = workers[call.address];
@@ -1078,10 +1101,22 @@
                   std::function<void(const worker_answer&)> answer =
                       [](const worker_answer&) {};
                   if (answers)
-                      answer = reply;
+                      answer = delayed_reply;
                   handle_call(at, call, answer);
               });
     }
+    /// Carries out a call without an answer, by the incarnation that is up
+    /// after the delay.
+    void carry_out_later(milliseconds delay, const worker_call& call)
+    {
+        after(delay,
+              [this, call]
+              {
+                  auto& at = workers[call.address];
+                  if (at.reachable)
+                      handle_call(at, call, [](const worker_answer&) {});
+              });
+    }
 
     std::int64_t clock_of(const fake_worker& worker) const
     {
