Raise the fence of a worker when it has restarted

A copy of an answered call, made by a transport, had the fence of the calls to the next incarnation of the worker: an acknowledgement removed ends that no list had named, a start ran beside its successor. The first call after the restart has a higher fence, so that no copy from before does anything after it.

--- a/src/cell_worker_fence_p.hpp
+++ b/src/cell_worker_fence_p.hpp
@@ -47,6 +47,13 @@
     /// no answer: it does not show the effect of earlier starts.
     void end_poll(std::uint32_t fence, bool is_answered);
 
+    /// Records that the worker has restarted: no call that was meant for the
+    /// earlier incarnation is carried out after the next call.
+    void begin_incarnation()
+    {
+        raise();
+    }
+
     /// Whether starts are open that an answer will settle.
     bool has_open_starts() const
     {
--- a/src/cell_workers.cpp
+++ b/src/cell_workers.cpp
@@ -136,6 +136,7 @@
 void cell_workers::restart(cell_worker& worker)
 {
     cell_worker next(std::move(worker.report_), next_number_++, worker.fence);
+    next.fence.begin_incarnation();
     next.listed = worker.listed;
     next.requested_stops = worker.requested_stops;
     next.unknown_amount_runs_ = worker.unknown_amount_runs_;
