--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -89,9 +89,6 @@
     {
         if (owner_)
             owner_->record_batch_time(now - last_handled_at_);
-        if (first_handled_at_ &&
-            now > last_handled_at_ + config::cell_pause_threshold)
-            resumed_at_ = now;
         last_handled_at_ = now;
     }
     if (!first_handled_at_)
@@ -414,15 +411,6 @@
             post(from, {{"k", "reply"}, {"v", to_json(refusal)}});
             return;
         }
-        if (may_precede_pause(from))
-        {
-            context_.counters.count("carobcourse_stale_calls_total");
-            worker_answer refusal;
-            refusal.id = call.id;
-            refusal.status = command_status::not_sent;
-            post(from, {{"k", "reply"}, {"v", to_json(refusal)}});
-            return;
-        }
         const auto id = context_.next_call_id();
         relayed_calls_[id] = {from, call.id};
         call.id = id;
@@ -522,10 +510,6 @@
                 {"leaving", stopping_},
                 {"t", now.time_since_epoch().count()},
                 {"cv", config_watcher_.version()}});
-    if (const auto member = members_.find(from); member != members_.end())
-        if (const auto echo = read_echo(now, item))
-            member->second.echoed_at =
-                std::max(member->second.echoed_at, *echo);
     if (followed_owner_ != from || followed_epoch_ != epoch)
     {
         followed_owner_ = from;
@@ -540,17 +524,6 @@
     read_config_evidence(now, from, item);
 }
 
-/// Messages of one host arrive in order, so those after its echo of a time
-/// since the pause were sent since then. A worker that has restarted since may
-/// carry an older call out, because it knows nothing of later ones.
-bool cell_host::may_precede_pause(const std::string& from) const
-{
-    const auto member = members_.find(from);
-    const auto echoed_at =
-        member == members_.end() ? time_point() : member->second.echoed_at;
-    return resumed_at_ > echoed_at;
-}
-
 void cell_host::read_config_evidence(time_point now, const std::string& from,
                                      const json& item)
 {
--- a/src/cell_host_p.hpp
+++ b/src/cell_host_p.hpp
@@ -66,8 +66,6 @@
         /// Clock of the host when it sent that answer, in microseconds. Empty
         /// when there was none since the link was made, or none with a reading.
         std::optional<std::int64_t> clock_us;
-        /// Latest reading of this host's clock that the member has echoed.
-        time_point echoed_at;
         bool connected = false;
         bool leaving = false; ///< The host is stopping.
         time_point connected_at;
@@ -123,9 +121,6 @@
     /// Takes what the heartbeat of the owner tells of the configuration.
     void read_config_evidence(time_point now, const std::string& from,
                               const nlohmann::json& item);
-    /// Whether a message of the host may have been sent before the end of the
-    /// latest pause of this host.
-    bool may_precede_pause(const std::string& from) const;
     /// Returns the reading of this host's clock that the owner had received
     /// before it sent the heartbeat, or nothing when there is no valid one.
     std::optional<time_point> read_echo(time_point now,
@@ -204,7 +199,6 @@
     /// handled, so silence is judged as of this time.
     time_point last_handled_at_;
     std::optional<time_point> first_handled_at_;
-    time_point resumed_at_; ///< End of the latest pause of this host.
     time_point next_heartbeat_at_;
     /// Owner whose heartbeats this host answers; empty when there is none.
     std::string followed_owner_;
--- a/src/cell_limits_p.hpp
+++ b/src/cell_limits_p.hpp
@@ -33,9 +33,6 @@
 /// Added to the delay before a failed commit is sent again, once for each
 /// failure in a row.
 constexpr auto cell_commit_retry_delay = 100ms;
-/// A host that has handled no event for this long was paused: what it reads
-/// next may have waited for it.
-constexpr auto cell_pause_threshold = 700ms;
 /// Initial estimate of the answer time of a commit, used until the first
 /// answer arrives. The store service takes 4 ms.
 constexpr auto cell_initial_commit_answer_time = 20ms;
