--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of review/6 to review/10 into target/review/, after the
+# Builds the stand-ins of review/7 to review/10 into target/review/, after the
 # build of the deploy file. Needs no other package than that.
 set -eu
 cd "$(dirname "$0")/.."
