Review: a start that the next incarnation carries out late

Cause: a start without an answer counts as settled once the incarnation of then has answered a poll with a higher fence. The next one has seen no fence, and its clock has begun anew.

--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -52,46 +52,6 @@
     return is_broken ? broken : held;
 }
 
-/// A task that lasts ends `done`; another one ends `failed`.
-int run_lasting_task(const std::string& record)
-{
-    cell all(record);
-    all.configure(1, {"q"});
-    for (int i = 0; i < 4; ++i)
-        all.add_executor(
-            {fmt::format("x{}", i), "", "z1", "r1-1", "a", 32000, 131072});
-    auto& host = all.add_host("a", "z1");
-    if (!wait_until_ready(host))
-        return not_run;
-    constexpr int run_ms = 1500;
-    constexpr int calm_ms = 60000;
-    const int ms = is_troubled() ? run_ms : calm_ms;
-    const json lasting{{"long_running", true}};
-    const std::string ends_done = "00000000000000d0";
-    const std::string ends_failed = "00000000000000f0";
-    if (all.submit(host, "q", ends_failed,
-                   job_of(1, ms, {"failed", "failed", "failed"}, lasting))
-                .status != 200 ||
-        all.submit(host, "q", ends_done, job_of(1, ms, {"done"}, lasting))
-                .status != 200)
-        return not_run;
-    const auto task = ends_done + ".0.0.0";
-    if (!eventually(milliseconds(5000),
-                    [&] { return all.history().starts_of(task) == 1; }))
-        return not_run;
-    // The rule counts from 6 s after the last run, for 3 s.
-    pause(ms == run_ms ? run_ms + 14000 : 14000);
-    const auto state = all.state(host, "q", ends_done);
-    const auto starts = all.history().starts_of(task);
-    const auto other = all.history().starts_of(ends_failed + ".0.0.0");
-    if (is_troubled() && other < 2)
-        return not_run;
-    return judge(all, is_troubled() && starts < 2,
-                 fmt::format("the task has been started {} times, the one that "
-                             "fails {} times; the job is shown as {}",
-                             starts, other, state.body));
-}
-
 /// A route is removed while a task of its queue runs, and added again.
 int run_removed_route(const std::string& record)
 {
@@ -231,6 +191,91 @@
     return {};
 }
 
+/// Returns the task of which a run was started after one had ended `done`, if
+/// that end is taken note of at any time, or an empty text.
+std::string find_start_after_done(const std::vector<run_event>& events)
+{
+    std::set<std::string> noted;
+    for (const auto& event : events)
+        if (event.what == "noted")
+            noted.insert(event.task);
+    std::set<std::string> done;
+    for (const auto& event : events)
+    {
+        if (event.what == "done" && noted.count(event.task) > 0)
+            done.insert(event.task);
+        if (event.what == "start" && done.count(event.task) > 0)
+            return fmt::format("{} on {} at {}", event.task, event.executor,
+                               event.at_ms);
+    }
+    return {};
+}
+
+/// One start of twenty is left unanswered and is carried out 2 s later. The
+/// executor crashes meanwhile and is back under its id.
+int run_late_start(const std::string& record)
+{
+    constexpr int executor_count = 8;
+    constexpr int tasks = 20;
+    constexpr int run_ms = 300;
+    constexpr int lateness_ms = 2000;
+    constexpr int crash_ms = 1900;
+    constexpr int down_ms = 60;
+    cell all(record);
+    all.configure(1, {"q"});
+    const auto armed = std::make_shared<std::atomic<bool>>(is_troubled());
+    std::vector<executor_traits> traits;
+    std::vector<executor*> executors;
+    for (int i = 0; i < executor_count; ++i)
+    {
+        traits.push_back({fmt::format("x{}", i), "desk", "z1",
+                          fmt::format("r1-{}", i / 6), "a", 32000, 131072});
+        executors.push_back(&all.add_executor(traits.back()));
+        executors.back()->leave_start_late(armed, milliseconds(lateness_ms));
+    }
+    auto& host = all.add_host("a", "z1");
+    const std::vector<entry_host*> hosts{&host, &all.add_host("b", "z1"),
+                                         &all.add_host("c", "z1")};
+    for (const auto* each : hosts)
+        if (!wait_until_ready(*each))
+            return not_run;
+    pause(4000);
+    if (all.submit(host, "q", "00000000000000a0",
+                   job_of(tasks, run_ms, {"done"}, json{{"cpu", 500}}))
+            .status != 200)
+        return not_run;
+    if (is_troubled())
+    {
+        executor* late = nullptr;
+        std::size_t number = 0;
+        const auto find_late = [&]
+        {
+            for (std::size_t i = 0; i < executors.size(); ++i)
+                if (executors[i]->late_start_at())
+                {
+                    late = executors[i];
+                    number = i;
+                }
+            return late != nullptr;
+        };
+        if (!eventually(milliseconds(3000), find_late))
+            return not_run;
+        std::this_thread::sleep_until(*late->late_start_at() +
+                                      milliseconds(crash_ms));
+        late->crash();
+        pause(down_ms);
+        late->restart(traits[number], milliseconds(0));
+    }
+    pause(8000);
+    const auto events = all.history().all();
+    auto task = find_start_after_done(events);
+    if (task.empty())
+        task = find_double_run(events);
+    return judge(all, !task.empty(),
+                 task.empty() ? "no task was started again"
+                              : "started again: " + task);
+}
+
 /// The owner's process is killed seconds after it has taken the cell over, and
 /// is started again while a burst of jobs begins. The other host still makes
 /// calls for the process of before.
@@ -311,9 +356,9 @@
 {
     using namespace review;
     const std::map<std::string, std::function<int(const std::string&)>> cases{
-        {"lasting-task", run_lasting_task},
         {"removed-route", run_removed_route},
         {"stale-cancel", run_stale_cancel},
+        {"late-start", run_late_start},
         {"restarted-owner", run_restarted_owner}};
     const auto found = count == 3 ? cases.find(arguments[1]) : cases.end();
     if (found == cases.end())
--- a/review/standin-2/platform.cpp
+++ b/review/standin-2/platform.cpp
@@ -17,6 +17,8 @@
 constexpr auto clock_step = milliseconds(5);
 constexpr std::int64_t longest_hold_ms = 6000;
 constexpr std::int64_t longest_wait_ms = 2000;
+/// A late start is left unanswered for this time.
+constexpr milliseconds longest_silence(5000);
 constexpr std::size_t most_listed_ends = 500;
 constexpr std::size_t most_rows = 500;
 
@@ -322,9 +324,52 @@
         changed_.notify_all();
     }
     timer_.join();
+    if (late_thread_.joinable())
+        late_thread_.join();
     service_.reset();
 }
 
+void executor::leave_start_late(std::shared_ptr<std::atomic<bool>> armed,
+                                milliseconds lateness)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    late_ = std::move(armed);
+    lateness_ = lateness;
+}
+
+std::optional<steady::time_point> executor::late_start_at() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return late_start_at_;
+}
+
+/// The life of the executor that is there by then carries the start out.
+http_reply executor::hold_back(std::unique_lock<std::mutex>& lock,
+                               const json& body)
+{
+    late_start_at_ = steady::now();
+    history_.log().write(
+        fmt::format("executor {} leaves the start of {} unanswered", traits_.id,
+                    body.at("task").get<std::string>()));
+    late_thread_ = std::thread(
+        [this, body, at = *late_start_at_ + lateness_]
+        {
+            std::this_thread::sleep_until(at);
+            const std::lock_guard<std::mutex> guard(mutex_);
+            if (!up_)
+                return;
+            advance();
+            const auto result = take_token(body) ? start_run(body).status : 409;
+            history_.log().write(fmt::format(
+                "executor {} carries the start of {} out: {}", traits_.id,
+                body.at("task").get<std::string>(), result));
+        });
+    const auto life = born_;
+    changed_.wait_for(lock, longest_silence,
+                      [this, life] { return !up_ || life != born_; });
+    return {0, ""};
+}
+
 void executor::crash()
 {
     {
@@ -468,6 +513,8 @@
     const auto body = json::parse(request.body, nullptr, false);
     if (!body.is_object())
         return {400, "{}"};
+    if (request.path == "/run-start" && late_ && late_->exchange(false))
+        return hold_back(lock, body);
     advance();
     if (!take_token(body))
         return refuse("fence");
@@ -527,7 +574,12 @@
     const auto life = born_;
     const auto acknowledged = body.value("ack_cursor", std::uint64_t{0});
     while (!ends_.empty() && ends_.front().number <= acknowledged)
+    {
+        const auto& end = ends_.front();
+        if (end.how == "done")
+            history_.add(traits_.id, end.task, end.run, "noted");
         ends_.pop_front();
+    }
     take_deadline(body);
     const auto wait =
         std::min(body.value("wait_ms", std::int64_t{0}), longest_wait_ms);
--- a/review/standin-2/platform.hpp
+++ b/review/standin-2/platform.hpp
@@ -2,6 +2,7 @@
 /// PROTOCOL.md describes them.
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
@@ -11,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <thread>
 #include <tuple>
@@ -89,7 +91,8 @@
     std::string executor;
     std::string task;
     std::uint32_t run = 0;
-    std::string what; ///< "start", or how the run ended.
+    std::string what; ///< "start", how the run ended, or "noted": `ack_cursor`
+                      ///< has reached its end `done`.
 };
 
 /// All starts and ends of a case in order. Thread safe.
@@ -137,6 +140,12 @@
     executor(const executor&) = delete;
     executor& operator=(const executor&) = delete;
 
+    /// Leaves the next start of all executors that share `armed` unanswered
+    /// and carries it out `lateness` after its arrival.
+    void leave_start_late(std::shared_ptr<std::atomic<bool>> armed,
+                          std::chrono::milliseconds lateness);
+    /// Returns when such a start arrives, or nothing if none has arrived.
+    std::optional<steady::time_point> late_start_at() const;
     /// Ends the executor's process: nothing runs on, nothing is known.
     void crash();
     /// Starts it again under its id and at its address, as `traits` say. The
@@ -161,6 +170,7 @@
     };
 
     http_reply answer(const http_message& request);
+    http_reply hold_back(std::unique_lock<std::mutex>& lock, const json& body);
     http_reply start_run(const json& body);
     http_reply stop_run(const json& body);
     http_reply hold(std::unique_lock<std::mutex>& lock, const json& body);
@@ -189,8 +199,12 @@
     std::map<std::string, std::uint32_t> barred_;
     std::deque<end_row> ends_;
     steady::time_point next_row_at_;
+    std::shared_ptr<std::atomic<bool>> late_;
+    std::chrono::milliseconds lateness_{0};
+    std::optional<steady::time_point> late_start_at_;
     bool closing_ = false;
     std::thread timer_;
+    std::thread late_thread_;
     std::unique_ptr<http_service> service_;
 };
 
