--- a/src/cell_owner_workers.cpp
+++ b/src/cell_owner_workers.cpp
@@ -177,7 +177,10 @@
 {
     const auto found = pending_calls_.find(answer.id);
     if (found == pending_calls_.end())
+    {
+        context_.counters.count("carobcourse_unmatched_answers_total");
         return;
+    }
     if (lost_ownership_)
         return;
     const auto pending = std::move(found->second);
