Number the owner's calls apart from those of its former process

The owner's process is killed and back after 0.1 s; a running task is started on a second worker.

Cause: other hosts make the owner's calls and send the answers to its host by name. The owner finds its call by a number that began at 1 in each process, so an answer to the former process is taken for one to a call of the present one. The list of one worker is then read as that of another: a task that runs is not in it, counts as lost and is started again.

Numbers begin at a 63-bit value that follows from the incarnation of the process, as the initial sequence numbers of TCP keep old segments out. An answer to the former process matches no call. No message changes, so relays of the build before serve a new owner as well. Answers of the advice service and refusals of a call as fenced, which end the ownership, come on the same path.

--- a/src/cell_context_p.hpp
+++ b/src/cell_context_p.hpp
@@ -50,7 +50,8 @@
                  entropy_source& entropy,
                  const external_row_reader& external_rows)
         : identity(std::move(identity)), entropy(entropy),
-          external_rows(external_rows), random(seed)
+          external_rows(external_rows), random(seed),
+          last_call_id_(first_number_of(this->identity.incarnation))
     {
     }
 
@@ -73,7 +74,9 @@
     {
         return {component::cell, ++last_op_sequence_};
     }
-    /// Returns a new id for a call to a worker or to the advice service.
+    /// Returns a new id for a call to a worker or to the advice service. Other
+    /// hosts make the calls and may answer to a later process of this host, so
+    /// no process uses the ids of another one.
     std::uint64_t next_call_id()
     {
         return ++last_call_id_;
@@ -141,8 +144,16 @@
     };
 
     std::map<log_code, limited_log> limited_logs_;
+    /// Returns where the numbers of a process begin: far from those of other
+    /// processes, as with the initial sequence numbers of TCP, and so that they
+    /// do not overflow.
+    static std::uint64_t first_number_of(const std::string& incarnation)
+    {
+        return stable_hash(incarnation, 0, 0) >> 1U;
+    }
+
     std::uint64_t last_op_sequence_ = 0;
-    std::uint64_t last_call_id_ = 0;
+    std::uint64_t last_call_id_;
 };
 
 } // namespace carobcourse
