Number callers' requests apart from those of the former process

Callers: nothing was reported. A caller may be told that its job is accepted when that is the answer to a caller of its host's former process, so that nobody holds the job; or it gets that caller's refusal.

The owner answers a request by the host and the number under which the host passed it on, and remembers refusals by them. The server for callers counts requests from 1 in each process.

The host passes requests on under numbers that begin at the value which sets its calls apart, so what an owner keeps by host and number (submitters, refusals, deferred and held requests) is of one process.

--- a/src/cell_context_p.hpp
+++ b/src/cell_context_p.hpp
@@ -51,7 +51,8 @@
                  const external_row_reader& external_rows)
         : identity(std::move(identity)), entropy(entropy),
           external_rows(external_rows), random(seed),
-          last_call_id_(first_number_of(this->identity.incarnation))
+          first_number_(first_number_of(this->identity.incarnation)),
+          last_call_id_(first_number_)
     {
     }
 
@@ -81,6 +82,19 @@
     {
         return ++last_call_id_;
     }
+    /// Returns the number by which other hosts know the call of a caller. The
+    /// ids of these calls begin anew with each process, and an owner may answer
+    /// a call of the process before.
+    std::uint64_t number_of(call_id id) const
+    {
+        return first_number_ + id;
+    }
+    /// Returns the call with the number. It is no call of this process when the
+    /// number is none of this process.
+    call_id call_with_number(std::uint64_t number) const
+    {
+        return number - first_number_;
+    }
     /// Requests one page of `table`, starting behind the key `after`. Answered
     /// by a `store_result` with the returned id.
     op_id request_scan(std::string table, std::string after = {},
@@ -152,6 +166,7 @@
         return stable_hash(incarnation, 0, 0) >> 1U;
     }
 
+    const std::uint64_t first_number_;
     std::uint64_t last_op_sequence_ = 0;
     std::uint64_t last_call_id_;
 };
--- a/src/cell_frontend.cpp
+++ b/src/cell_frontend.cpp
@@ -244,7 +244,9 @@
                                                    : result_code::job_unknown);
         return;
     }
-    json item{{"k", item_kind_of(request.verb)}, {"c", request.id}, {"id", id}};
+    json item{{"k", item_kind_of(request.verb)},
+              {"c", context_.number_of(request.id)},
+              {"id", id}};
     if (request.verb == caller_verb::submit)
     {
         auto description = describe_work(request);
@@ -280,7 +282,8 @@
 void cell_frontend::on_answer(time_point now, const std::string& from,
                               const json& item)
 {
-    const auto found = calls_.find(item.value("c", call_id{0}));
+    const auto found = calls_.find(
+        context_.call_with_number(item.value("c", std::uint64_t{0})));
     if (found == calls_.end() || found->second.sent_to != from)
         return;
     caller_answer reply;
