Keep a job whose run fails while its route is removed

A job is shown as failed after one failed run of three, because the run ended while a version of the configuration without its route was in force.

Cause: on_run_ended looked the queue up to learn how many runs may fail, and took 1 when the configuration had no such queue or none had been read yet.

Ruled out: that the takeover loses the failed run; its row has it.

The failed run is recorded and stored without a verdict. The limit is applied when another version is in force and after a takeover, so a job that has used its attempts by then fails without another start (the second case, which guards against starts beyond the attempts). The look-up of a job's queue, which stood in six places, is one function.

--- a/src/cell_host.cpp
+++ b/src/cell_host.cpp
@@ -507,6 +507,7 @@
             if (member.connected)
                 post(host,
                      {{"k", "config_version"}, {"cv", announced_version_}});
+        owner_->on_config_changed(now);
     }
     release_held_items(now);
     frontend_.release_held(now, make_owner_sender(now));
--- a/src/cell_job.cpp
+++ b/src/cell_job.cpp
@@ -25,6 +25,13 @@
     return step.estimate_ms > 0 ? step.estimate_ms : default_task_ms;
 }
 
+/// A limit of 0 allows one run.
+bool is_exhausted(const std::set<std::uint32_t>& failed_runs,
+                  std::uint32_t max_attempts)
+{
+    return failed_runs.size() >= std::max<std::uint32_t>(1, max_attempts);
+}
+
 bool is_before(const step_advice::worker_advice& advice, worker_number worker)
 {
     return advice.worker < worker;
@@ -196,7 +203,7 @@
 }
 
 bool cell_job::mark_failed(const cell_task_id& id, std::uint32_t run,
-                           std::uint32_t max_attempts)
+                           std::optional<std::uint32_t> max_attempts)
 {
     auto* step = find_step(id.occurrence, id.step);
     auto* task = find(id);
@@ -207,12 +214,32 @@
         return false;
     auto& failed = spec.gang ? step->gang_failed_runs : task->failed_runs;
     failed.insert(run);
-    if (failed.size() < std::max<std::uint32_t>(1, max_attempts))
+    if (!max_attempts || !is_exhausted(failed, *max_attempts))
         return false;
     failed_ = true;
     return true;
 }
 
+bool cell_job::apply_attempt_limit(std::uint32_t max_attempts)
+{
+    const auto has_failed = [max_attempts](const step_state& step)
+    {
+        return step.done < step.tasks.size() &&
+               (is_exhausted(step.gang_failed_runs, max_attempts) ||
+                std::any_of(step.tasks.begin(), step.tasks.end(),
+                            [max_attempts](const cell_task& task)
+                            {
+                                return task.state != cell_task_state::done &&
+                                       is_exhausted(task.failed_runs,
+                                                    max_attempts);
+                            }));
+    };
+    for (const auto& [number, occurrence] : occurrences_)
+        failed_ = failed_ || std::any_of(occurrence.steps.begin(),
+                                         occurrence.steps.end(), has_failed);
+    return failed_;
+}
+
 std::string cell_job::spec_text() const
 {
     return json{{"c", customer_},
--- a/src/cell_job_p.hpp
+++ b/src/cell_job_p.hpp
@@ -190,9 +190,13 @@
     void mark_done(const cell_task_id& task);
     /// Records the failure of a run, and fails the job and returns true once
     /// `max_attempts` runs have failed. A run counts once, however often its
-    /// failure is reported. Runs of long-running steps do not count.
+    /// failure is reported. Runs of long-running steps do not count. Without
+    /// `max_attempts` the job goes on until `apply_attempt_limit` is called.
     bool mark_failed(const cell_task_id& task, std::uint32_t run,
-                     std::uint32_t max_attempts);
+                     std::optional<std::uint32_t> max_attempts);
+    /// Fails the job and returns true when `max_attempts` runs of a task that
+    /// is not done, or of a gang, have failed.
+    bool apply_attempt_limit(std::uint32_t max_attempts);
     void cancel()
     {
         cancelled_ = true;
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -90,6 +90,12 @@
     return found == jobs_.end() ? nullptr : found->second.get();
 }
 
+const queue_config* cell_owner::find_queue(const cell_job& job) const
+{
+    return context_.config ? context_.config->find_queue_by_name(job.queue())
+                           : nullptr;
+}
+
 // ------------------------------------------------------------------- callers
 
 void cell_owner::on_caller_request(time_point now, const std::string& host,
--- a/src/cell_owner_advice.cpp
+++ b/src/cell_owner_advice.cpp
@@ -240,9 +240,7 @@
     if (step->advice.calls_in_flight > 0)
         --step->advice.calls_in_flight;
     step->latest_pass = 0;
-    const auto* queue = context_.config
-                            ? context_.config->find_queue_by_name(job->queue())
-                            : nullptr;
+    const auto* queue = find_queue(*job);
     const bool is_long_call =
         queue && queue->advice && queue->advice->call_ms > long_call_ms;
     step->advice.ask_again_at =
--- a/src/cell_owner_dispatch.cpp
+++ b/src/cell_owner_dispatch.cpp
@@ -47,7 +47,7 @@
     {
         if (is_final(job->phase()))
             continue;
-        const auto* queue = context_.config->find_queue_by_name(job->queue());
+        const auto* queue = find_queue(*job);
         if (!queue)
             continue;
         for (auto& [number, occurrence] : job->occurrences())
--- a/src/cell_owner_load.cpp
+++ b/src/cell_owner_load.cpp
@@ -265,6 +265,7 @@
         job->add_due_occurrences(context_.wall_clock_ms);
         job->mark_unresolved();
         set_objective(now, *job);
+        settle_by_config(now, *job);
     }
     for (const auto& [id, worker] : workers_.all())
         unresolved_workers_.insert(id);
@@ -283,11 +284,25 @@
     dispatch_due_ = true;
 }
 
+void cell_owner::on_config_changed(time_point now)
+{
+    for (auto& [id, job] : jobs_)
+        settle_by_config(now, *job);
+}
+
+void cell_owner::settle_by_config(time_point now, cell_job& job)
+{
+    const auto* queue = find_queue(job);
+    if (!queue || is_final(job.phase()) ||
+        !job.apply_attempt_limit(queue->max_attempts))
+        return;
+    dirty_jobs_.insert(job.id());
+    stop_job_runs(now, job);
+}
+
 void cell_owner::set_objective(time_point now, cell_job& job)
 {
-    const auto* queue = context_.config
-                            ? context_.config->find_queue_by_name(job.queue())
-                            : nullptr;
+    const auto* queue = find_queue(job);
     const auto age = std::max<std::int64_t>(0, context_.wall_clock_ms -
                                                    job.accepted_unix_ms());
     const auto chain = static_cast<double>(job.critical_path_ms());
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -81,6 +81,8 @@
     /// Takes note that every other host has answered a heartbeat of this owner,
     /// so that no earlier owner makes calls any more.
     void on_all_hosts_follow(time_point now);
+    /// To be called when another configuration is in force.
+    void on_config_changed(time_point now);
     /// Takes note of the time from one batch of events to the next, which is
     /// long when the owner has more events than it can handle.
     void record_batch_time(duration time)
@@ -271,6 +273,9 @@
 
     /// Returns null when the job is unknown or has ended.
     cell_job* find_job(const std::string& id) const;
+    /// Returns the queue of the job in the configuration in force; null when
+    /// that has no such queue and when none has been read yet.
+    const queue_config* find_queue(const cell_job& job) const;
 
     // Reading the state of the cell (cell_owner_load.cpp).
     std::string table_name(state_table table) const;
@@ -295,6 +300,9 @@
     /// Creates the state of a job from an entry of the log.
     void load_log_entry(const log_entry& entry);
     void finish_load(time_point now);
+    /// Decides what could not be decided about the job while no configuration
+    /// had its queue.
+    void settle_by_config(time_point now, cell_job& job);
     void set_objective(time_point now, cell_job& job);
     void write_leased_workers();
 
--- a/src/cell_owner_preemption.cpp
+++ b/src/cell_owner_preemption.cpp
@@ -71,7 +71,7 @@
     const auto& spec = job->spec().steps[key.first.step];
     if (!spec.checkpoints || spec.gang || spec.long_running)
         return std::nullopt;
-    const auto* queue = context_.config->find_queue_by_name(job->queue());
+    const auto* queue = find_queue(*job);
     preemption_candidate result;
     result.key = key;
     result.worker = worker.number();
--- a/src/cell_owner_runs.cpp
+++ b/src/cell_owner_runs.cpp
@@ -246,11 +246,12 @@
     const auto& spec = job->spec().steps[end.task.step];
     if (end.kind == end_kind::failed)
     {
-        const auto* queue =
-            context_.config ? context_.config->find_queue_by_name(job->queue())
-                            : nullptr;
         count_worker_failure(now, worker, end.task.job);
-        job->mark_failed(end.task, end.run, queue ? queue->max_attempts : 1);
+        // Without the queue, `settle_by_config` applies the limit later.
+        const auto* queue = find_queue(*job);
+        job->mark_failed(end.task, end.run,
+                         queue ? std::make_optional(queue->max_attempts)
+                               : std::nullopt);
         dirty_jobs_.insert(job->id());
         if (is_final(job->phase()))
             stop_job_runs(now, *job);
--- a/src/cell_owner_takeover.cpp
+++ b/src/cell_owner_takeover.cpp
@@ -91,9 +91,7 @@
     time_point now, cell_job& job,
     const std::vector<const cell_worker*>& silent)
 {
-    const auto* queue = context_.config
-                            ? context_.config->find_queue_by_name(job.queue())
-                            : nullptr;
+    const auto* queue = find_queue(job);
     std::size_t held = 0;
     for (auto& [number, occurrence] : job.occurrences())
     {
