Compute a job's deadline again when its route is back

Callers: nothing was reported. A job whose owner changed while its route was removed goes behind later ones for the rest of its time.

A new owner computes the deadline of each job once, when it loads, and without the queue it took the time of the tasks alone, without stretch and slack.

The first form of the test failed for another reason, since a takeover held the task for workers that did not answer; all its workers answer now.

The deadline is computed again when a configuration has the queue.

--- a/src/cell_job_p.hpp
+++ b/src/cell_job_p.hpp
@@ -238,6 +238,8 @@
     job_memory_share memory;  ///< Of the memory of all jobs.
     time_point objective;     ///< A job that completes later is late.
     time_point hard_deadline; ///< A result after this time has no value.
+    /// These two follow from the settings of the job's queue.
+    bool has_queue_objective = false;
     bool excess = false;      ///< Submitted beyond the customer's rate.
     bool durable = false;     ///< The job's row is stored.
 
--- a/src/cell_owner_load.cpp
+++ b/src/cell_owner_load.cpp
@@ -293,8 +293,11 @@
 void cell_owner::settle_by_config(time_point now, cell_job& job)
 {
     const auto* queue = find_queue(job);
-    if (!queue || is_final(job.phase()) ||
-        !job.apply_attempt_limit(queue->max_attempts))
+    if (!queue || is_final(job.phase()))
+        return;
+    if (!job.has_queue_objective)
+        set_objective(now, job);
+    if (!job.apply_attempt_limit(queue->max_attempts))
         return;
     dirty_jobs_.insert(job.id());
     stop_job_runs(now, job);
@@ -311,6 +314,7 @@
                     queue->slack_ms
               : static_cast<std::int64_t>(chain));
     const auto start = now - std::chrono::milliseconds(age);
+    job.has_queue_objective = queue != nullptr;
     job.objective = start + response_time;
     job.hard_deadline = start + response_time * late_end_factor;
 }
--- a/tests/test_cell_removed_route.cpp
+++ b/tests/test_cell_removed_route.cpp
@@ -12,7 +12,10 @@
 
 struct removed_route_cell : cell_with_owner
 {
-    removed_route_cell() : cell_with_owner(3, 4) {}
+    explicit removed_route_cell(std::size_t workers = 4)
+        : cell_with_owner(3, workers)
+    {
+    }
 
     void set_route(const std::string& name, bool present,
                    std::optional<std::uint32_t> max_attempts = {})
@@ -144,3 +147,32 @@
     CHECK(cell.phase(job) == "completed");
     CHECK(cell.start_count() == 2);
 }
+
+TEST_CASE("A job keeps the deadline of its queue when its owner changes while "
+          "the route is removed")
+{
+    // Guards against a job that goes behind later ones because its new owner
+    // has computed its deadline without the settings of the queue.
+    constexpr unsigned later_job = 2;
+    removed_route_cell cell(1);
+    const auto set_refusal = [&](std::optional<command_status> status)
+    {
+        for (auto& [id, worker] : cell.workers)
+            worker.start_refusal = status;
+    };
+    set_refusal(command_status::no_room);
+    // One task of these takes the only worker.
+    cell.submit(cell.owner(), job, cell.make_work(1, 8000));
+    cell.run(milliseconds(300));
+    cell.set_route("batch", false);
+    cell.replace_owner();
+    cell.set_route("batch", true);
+    cell.submit(cell.owner(), later_job, cell.make_work(1, 8000));
+    cell.run(milliseconds(300));
+    set_refusal({});
+    const cell_task_id later_task{cell.job_id(later_job), 0, 0, 0};
+    REQUIRE(cell.run_until(
+        milliseconds(20000),
+        [&] { return cell.is_started() || cell.starts[later_task] > 0; }));
+    CHECK(cell.is_started());
+}
