Deny a job only while this host is known to own the cell

The owner freezes, another host takes the cell over and accepts a job. A cancel that was sent to the frozen host is answered with 410 when it wakes, and the job runs on.

Cause: the owner answered that there is no such job as soon as it was not in its memory. Its writes and its calls to workers are fenced, this answer was not.

The answer is given at once while the last confirmed commit excludes that another host has claimed the cell, else with the next confirmed commit that was sent after the call. An owner that has been replaced loses the cell with that commit, and its host sends the call to the successor.

--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -72,6 +72,8 @@
         if (journal_.on_result(now, result) ==
             cell_journal::outcome::ownership_lost)
             lost_ownership_ = true;
+        else
+            send_confirmed_replies();
         dispatch_due_ = true;
         return true;
     }
@@ -121,7 +123,7 @@
     else if (kind == "cancel")
         cancel(now, from, id);
     else
-        reply_phase(from, id);
+        reply_phase(now, from, id);
 }
 
 void cell_owner::reply(const reply_address& to, result_code code,
@@ -308,11 +310,15 @@
 void cell_owner::cancel(time_point now, const reply_address& from,
                         const std::string& id)
 {
+    if (ended_jobs_.count(id))
+    {
+        reply(from, result_code::ok);
+        return;
+    }
     auto* job = find_job(id);
     if (!job)
     {
-        reply(from, ended_jobs_.count(id) ? result_code::ok
-                                          : result_code::job_unknown);
+        deny_job(now, from);
         return;
     }
     if (!is_final(job->phase()))
@@ -323,7 +329,31 @@
     journal_.when_durable([this, from] { reply(from, result_code::ok); });
 }
 
-void cell_owner::reply_phase(const reply_address& from, const std::string& id)
+/// A host that was paused may have been replaced, and its successor may have
+/// accepted the job. No other host claims the cell sooner than
+/// `cell_owner_timeout` after a commit, so a confirmed commit that was sent later
+/// than that before now, or any that is sent from now on, rules this out.
+void cell_owner::deny_job(time_point now, const reply_address& from)
+{
+    if (has_owned_at(now - config::cell_owner_timeout))
+        reply(from, result_code::job_unknown);
+    else
+        unconfirmed_denials_.emplace_back(now, from);
+}
+
+void cell_owner::send_confirmed_replies()
+{
+    for (auto& [asked_at, from] : std::exchange(unconfirmed_denials_, {}))
+    {
+        if (has_owned_at(asked_at))
+            reply(from, result_code::job_unknown);
+        else
+            unconfirmed_denials_.emplace_back(asked_at, std::move(from));
+    }
+}
+
+void cell_owner::reply_phase(time_point now, const reply_address& from,
+                             const std::string& id)
 {
     const auto ended = ended_jobs_.find(id);
     if (ended != ended_jobs_.end())
@@ -334,7 +364,7 @@
     const auto* job = find_job(id);
     if (!job)
     {
-        reply(from, result_code::job_unknown);
+        deny_job(now, from);
         return;
     }
     // A final phase is reported only after it is durable; until then the job
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -311,7 +311,12 @@
                 const nlohmann::json& item);
     void cancel(time_point now, const reply_address& from,
                 const std::string& id);
-    void reply_phase(const reply_address& from, const std::string& id);
+    void reply_phase(time_point now, const reply_address& from,
+                     const std::string& id);
+    /// Answers that there is no such job, once this host is known to have owned
+    /// the cell when it was asked.
+    void deny_job(time_point now, const reply_address& from);
+    void send_confirmed_replies();
     void reply(const reply_address& to, result_code code,
                std::optional<job_phase> phase = {},
                std::int64_t retry_after_ms = 0);
@@ -584,6 +589,8 @@
     std::map<std::string, ended_job> ended_jobs_;
     std::map<std::string, std::vector<reply_address>> submitters_;
     std::map<reply_address, refused_submission> refused_submissions_;
+    /// Callers who asked for an unknown job, with the time; see `deny_job`.
+    std::vector<std::pair<time_point, reply_address>> unconfirmed_denials_;
     std::set<std::string> dirty_jobs_;
     /// Workers that reported task ends which are not acknowledged yet.
     std::set<std::string> workers_to_acknowledge_;
