Keep workers without a row among the leases of earlier owners

Workers are cut off from the store and run on while their rows expire. Two owners are killed within a lease time, and the third starts their tasks elsewhere.

Cause: the row that tells a new owner which workers may hold leases was written anew by each owner with the workers that have a row in the list, so it forgot the others.

Evidence: test_cell_takeover_rows on: "two runs of a task at once".

The row keeps the workers that are not resolved, and is written again when they are (the second case guards against owners that wait for workers that have left for good).

--- a/src/cell_owner_load.cpp
+++ b/src/cell_owner_load.cpp
@@ -321,7 +321,8 @@
 
 void cell_owner::write_leased_workers()
 {
-    std::set<std::string> ids;
+    // An earlier owner may have given leases to workers without a row.
+    auto ids = unresolved_workers_;
     for (const auto& [id, worker] : workers_.all())
         ids.insert(id);
     if (ids == leased_workers_)
--- a/src/cell_owner_takeover.cpp
+++ b/src/cell_owner_takeover.cpp
@@ -68,6 +68,7 @@
                                  silent_ids.front()));
     for (const auto& id : silent_ids)
         unresolved_workers_.erase(id);
+    write_leased_workers();
     return !others_answer;
 }
 
--- a/tests/test_cell_takeover_rows.cpp
+++ b/tests/test_cell_takeover_rows.cpp
@@ -26,7 +26,8 @@
         cell.run(milliseconds(300));
     }
     cell.add_worker("w9", "dc1");
-    cell.run(milliseconds(20000));
+    // The longest lease of a takeover, and another run of the task.
+    cell.run(milliseconds(26000));
     CHECK(cell.first_violation() == "none");
     CHECK(cell.phase(1) == "completed");
 }
