--- a/src/cell_job_p.hpp
+++ b/src/cell_job_p.hpp
@@ -240,8 +240,8 @@
     time_point hard_deadline; ///< A result after this time has no value.
     /// These two follow from the settings of the job's queue.
     bool has_queue_objective = false;
-    bool excess = false;      ///< Submitted beyond the customer's rate.
-    bool durable = false;     ///< The job's row is stored.
+    bool excess = false;  ///< Submitted beyond the customer's rate.
+    bool durable = false; ///< The job's row is stored.
 
 private:
     /// Returns the occurrence, which is created when it does not exist.
--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -331,8 +331,8 @@
 
 /// A host that was paused may have been replaced, and its successor may have
 /// accepted the job. No other host claims the cell sooner than
-/// `cell_owner_timeout` after a commit, so a confirmed commit that was sent later
-/// than that before now, or any that is sent from now on, rules this out.
+/// `cell_owner_timeout` after a commit, so a confirmed commit that was sent
+/// later than that before now, or any that is sent from now on, rules this out.
 void cell_owner::deny_job(time_point now, const reply_address& from)
 {
     if (has_owned_at(now - config::cell_owner_timeout))
--- a/src/cell_owner_runs.cpp
+++ b/src/cell_owner_runs.cpp
@@ -107,13 +107,12 @@
     }
     for (const auto& key : dropped)
     {
-        context_.log(log_code::cell_task_lost,
-                     fmt::format("task={} run={} worker={} reason=not_listed "
-                                 "incarnation={} call={} agent={}",
-                                 to_string(key.first), key.second,
-                                 worker.report().id,
-                                 worker.incarnation_start_ms, answer.id,
-                                 pending.relay));
+        context_.log(
+            log_code::cell_task_lost,
+            fmt::format("task={} run={} worker={} reason=not_listed "
+                        "incarnation={} call={} agent={}",
+                        to_string(key.first), key.second, worker.report().id,
+                        worker.incarnation_start_ms, answer.id, pending.relay));
         drop_run(now, worker, key);
     }
 }
