Hold one denial for each call

Hosts send calls without an answer again, so the list of denials that wait for a commit grew with each copy while the store was away. Found by reading the diff; no test of its own.

--- a/src/cell_owner.cpp
+++ b/src/cell_owner.cpp
@@ -330,25 +330,29 @@
 }
 
 /// A host that was paused may have been replaced, and its successor may have
-/// accepted the job. No other host claims the cell sooner than
-/// `cell_owner_timeout` after a commit, so a confirmed commit that was sent
-/// later than that before now, or any that is sent from now on, rules this out.
+/// accepted the job. No other host claims the cell within `cell_owner_timeout`
+/// of a commit, so a confirmed commit that was sent less than that ago, or
+/// after the call, rules this out.
 void cell_owner::deny_job(time_point now, const reply_address& from)
 {
     if (has_owned_at(now - config::cell_owner_timeout))
         reply(from, result_code::job_unknown);
     else
-        unconfirmed_denials_.emplace_back(now, from);
+        unconfirmed_denials_.emplace(from, now);
 }
 
 void cell_owner::send_confirmed_replies()
 {
-    for (auto& [asked_at, from] : std::exchange(unconfirmed_denials_, {}))
+    for (auto it = unconfirmed_denials_.begin();
+         it != unconfirmed_denials_.end();)
     {
-        if (has_owned_at(asked_at))
-            reply(from, result_code::job_unknown);
-        else
-            unconfirmed_denials_.emplace_back(asked_at, std::move(from));
+        if (!has_owned_at(it->second))
+        {
+            ++it;
+            continue;
+        }
+        reply(it->first, result_code::job_unknown);
+        it = unconfirmed_denials_.erase(it);
     }
 }
 
--- a/src/cell_owner_p.hpp
+++ b/src/cell_owner_p.hpp
@@ -590,7 +590,7 @@
     std::map<std::string, std::vector<reply_address>> submitters_;
     std::map<reply_address, refused_submission> refused_submissions_;
     /// Callers who asked for an unknown job, with the time; see `deny_job`.
-    std::vector<std::pair<time_point, reply_address>> unconfirmed_denials_;
+    std::map<reply_address, time_point> unconfirmed_denials_;
     std::set<std::string> dirty_jobs_;
     /// Workers that reported task ends which are not acknowledged yet.
     std::set<std::string> workers_to_acknowledge_;
