--- a/review/standin-3/http.cpp
+++ b/review/standin-3/http.cpp
@@ -9,7 +9,6 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <set>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <thread>
@@ -309,16 +308,25 @@
 
 int free_port()
 {
-    // Ports are held while others are drawn, so that none is drawn twice.
-    static std::set<int> drawn;
-    while (true)
+    // Below the ports that the system gives to outgoing connections, which
+    // could take one before it is listened on.
+    constexpr int first = 20000;
+    constexpr int count = 12000;
+    static std::atomic<int> next{getpid() * 97 % count};
+    for (int i = 0; i < count; ++i)
     {
-        const int fd = listen_on(0);
-        const auto port = port_of(fd);
-        close(fd);
-        if (drawn.insert(port).second)
+        const int port = first + next++ % count;
+        try
+        {
+            close(listen_on(port));
             return port;
+        }
+        catch (const std::runtime_error&)
+        {
+            continue;
+        }
     }
+    throw std::runtime_error("no free port");
 }
 
 namespace
--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -44,6 +44,7 @@
 constexpr std::size_t max_listed_ends = 500;
 constexpr auto transaction_time = milliseconds(4);
 constexpr auto tick = milliseconds(5);
+constexpr std::size_t output_bytes = 65536;
 
 } // namespace
 
@@ -581,33 +582,55 @@
 
 entry_host::~entry_host()
 {
-    if (pid_ > 0)
-        kill();
+    kill();
+    reads_output_ = true;
+    for (auto& each : readers_)
+        each.join();
+}
+
+void entry_host::copy_output(int from)
+{
+    std::ofstream log(directory_ + "/" + name_ + ".log", std::ios::app);
+    std::vector<char> buffer(output_bytes);
+    while (true)
+    {
+        if (!reads_output_)
+        {
+            std::this_thread::sleep_for(tick);
+            continue;
+        }
+        const auto count = read(from, buffer.data(), buffer.size());
+        if (count <= 0)
+            break;
+        log.write(buffer.data(), count);
+    }
+    close(from);
 }
 
 void entry_host::start()
 {
     // Before the fork: other threads may hold the lock of the allocator.
-    const auto log = directory_ + "/" + name_ + ".log";
     std::string variable = "CAROBCOURSE_CONFIG=" + settings_;
     std::string path = "PATH=/usr/bin:/bin";
     std::string program = "target/carobcourse";
     std::string role = "cell";
     char* environment[] = {variable.data(), path.data(), nullptr};
     char* arguments[] = {program.data(), role.data(), nullptr};
-    const int out =
-        open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    int output[2] = {-1, -1};
+    if (pipe2(output, O_CLOEXEC) != 0)
+        throw std::runtime_error("no pipe");
     pid_ = fork();
     if (pid_ == 0)
     {
         // The process must not outlive the case.
         prctl(PR_SET_PDEATHSIG, SIGKILL);
-        dup2(out, STDOUT_FILENO);
-        dup2(out, STDERR_FILENO);
+        dup2(output[1], STDOUT_FILENO);
+        dup2(output[1], STDERR_FILENO);
         execve(program.c_str(), arguments, environment);
         _exit(127);
     }
-    close(out);
+    close(output[1]);
+    readers_.emplace_back([this, from = output[0]] { copy_output(from); });
 }
 
 void entry_host::signal(int number)
--- a/review/standin-3/world.hpp
+++ b/review/standin-3/world.hpp
@@ -222,6 +222,12 @@
     entry_host& operator=(const entry_host&) = delete;
 
     void start();
+    /// Reads what the process writes to its standard output, as the platform
+    /// does, or leaves it unread.
+    void read_output(bool reads)
+    {
+        reads_output_ = reads;
+    }
     void signal(int number);
     /// Kills the process and waits for its end.
     void kill();
@@ -242,12 +248,16 @@
     }
 
 private:
+    void copy_output(int from);
+
     std::string name_;
     std::string directory_;
     std::string settings_;
     int front_ = 0;
     int ready_ = 0;
     int pid_ = 0;
+    std::atomic<bool> reads_output_{true};
+    std::vector<std::thread> readers_;
 };
 
 /// Directory for settings and logs; removed at the end.
