--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -17,7 +17,7 @@
 }
 
 parts=(http world deployment)
-cases=(quota_takeover removed_route restarted_kind lasting_done unread_log)
+cases=(quota_takeover removed_route restarted_kind unread_log)
 for part in "${parts[@]}"; do
     compile -c "$part.cpp" -o "$out/$part.o" &
 done
